--- /dev/null
+++ b/src/actors/desk.cc
@@ -0,0 +1,140 @@
+#include "actors/desk.h"
+
+#include <spdlog/spdlog.h>
+
+namespace eiderreel {
+
+namespace k = constants;
+
+namespace {
+
+void refuse(const Reply& reply, const char* why) { reply(503, codec::error_body(why)); }
+
+Reply counted(std::map<int, std::uint64_t>& by_status, Reply reply) {
+  return [&by_status, reply = std::move(reply)](int status, std::string body) {
+    ++by_status[status];
+    reply(status, std::move(body));
+  };
+}
+
+}  // namespace
+
+Desk::Desk(Runtime& rt, const Settings& s, Registrar& registrar, Owner& owner)
+    : rt_(rt),
+      s_(s),
+      registrar_(registrar),
+      owner_(owner),
+      // Answers may come late, even to a process started since: no number is used twice.
+      next_ask_(static_cast<std::uint64_t>(rt.random() * 9e15)) {}
+
+std::string Desk::can_never_run(const JobSpec& j) const {
+  const Team* team = nullptr;
+  for (const auto& t : s_.teams)
+    if (t.name == j.team) team = &t;
+  if (!team) return "unknown team";
+  // An array needs room for one task within the limit, a service for all of them.
+  const double n = j.kind == Kind::service ? j.tasks : 1;
+  if (j.cpus * n > team->cpus_max || j.gpus * n > team->gpus_max)
+    return "the job needs more than the team's limit";
+  for (const auto& t : types_)
+    for (const auto& zone : t.zones)
+      if (allowed(j, t, zone, false)) return "";
+  return "a task fits no allowed machine type";
+}
+
+void Desk::submit(const std::string& body, Reply r) {
+  Reply reply = counted(counters_.submits, std::move(r));
+  auto parsed = codec::parse_job(body);
+  if (!parsed.spec) return reply(400, codec::error_body(parsed.error));
+  const JobSpec& j = *parsed.spec;
+  const View& v = registrar_.view();
+  if (!v.ready) return refuse(reply, "not ready yet");
+  if (v.finals.count(j.id) || v.jobs.count(j.id)) return look_up(j.id, false, std::move(reply));
+  if (types_.empty()) return refuse(reply, "the machine types are not known yet");
+  if (auto why = can_never_run(j); !why.empty()) return reply(422, codec::error_body(why));
+  // Any node may accept: the guards say that nobody has, and that it was never over before.
+  Commit c;
+  c.nonce = registrar_.nonce();
+  c.guards = {{codec::job_key(j.id), 0}, {codec::final_key(j.id), 0}};
+  c.writes = {{codec::job_key(j.id), codec::encode(j, c.nonce), false}};
+  if (c.writes[0].value.size() > static_cast<std::size_t>(s_.state_value_kb * 1024))
+    return reply(400, codec::error_body("the job is too large to be kept"));
+  c.done = [this, id = j.id, reply](Outcome o, std::uint64_t stamp) {
+    if (o == Outcome::ok) {
+      spdlog::info("job accepted job={} stamp={}", id, stamp);
+      return reply(201, codec::job_answer(id, JobPhase::queued));
+    }
+    if (o == Outcome::conflict) return look_up(id, false, reply);
+    refuse(reply, "the state service did not confirm; try again");
+  };
+  registrar_.commit(std::move(c));
+}
+
+void Desk::poll(const std::string& id, Reply r) {
+  Reply reply = counted(counters_.polls, std::move(r));
+  if (!codec::valid_job_id(id)) return reply(404, codec::error_body("no such job"));
+  if (!registrar_.view().ready) return refuse(reply, "not ready yet");
+  look_up(id, false, std::move(reply));
+}
+
+void Desk::cancel(const std::string& id, Reply r) {
+  Reply reply = counted(counters_.cancels, std::move(r));
+  if (!codec::valid_job_id(id)) return reply(404, codec::error_body("no such job"));
+  if (!registrar_.view().ready) return refuse(reply, "not ready yet");
+  look_up(id, true, std::move(reply));
+}
+
+// Invariant 8: what is final stays so and may be told from the cache. For an open job only its
+// owner, while its grant is alive, or the state service itself can speak.
+void Desk::look_up(const std::string& id, bool cancel, Reply reply) {
+  const View& v = registrar_.view();
+  if (auto f = v.finals.find(id); f != v.finals.end())
+    return reply(200, cancel ? codec::job_answer(id, f->second)
+                             : codec::job_status(id, {f->second, 0, 0}));
+  if (!v.jobs.count(id)) return read_open(id, cancel, std::move(reply));
+  ask_owner(id, cancel, [this, id, cancel, reply](int status, std::string body) {
+    if (status != 0) return reply(status, std::move(body));
+    read_open(id, cancel, reply);
+  });
+}
+
+// The job's record first, then its final one: it moves from the first to the second only.
+void Desk::read_open(const std::string& id, bool cancel, Reply reply) {
+  registrar_.read(codec::job_key(id), [this, id, cancel, reply](auto row) {
+    if (!row) return refuse(reply, "the state service does not answer");
+    if (row->stamp != 0) {
+      if (cancel) return refuse(reply, "the job's owner cannot be reached; try again");
+      return reply(200, codec::job_status(id, {JobPhase::queued, 0, 0}));
+    }
+    registrar_.read(codec::final_key(id), [this, id, cancel, reply](auto row) {
+      if (!row) return refuse(reply, "the state service does not answer");
+      if (row->stamp == 0 || !row->final_phase)
+        return reply(404, codec::error_body("no such job"));
+      registrar_.remember_final(id, *row->final_phase);
+      reply(200, cancel ? codec::job_answer(id, *row->final_phase)
+                        : codec::job_status(id, {*row->final_phase, 0, 0}));
+    });
+  });
+}
+
+void Desk::ask_owner(const std::string& id, bool cancel, Reply reply) {
+  const View& v = registrar_.view();
+  auto part = v.parts.find(s_.part_of_team(v.jobs.at(id).spec.team));
+  if (part == v.parts.end()) return reply(0, "");
+  if (part->second.owner == s_.node) return owner_.ask({0, cancel, id}, std::move(reply));
+  if (!owner_.peer_alive(part->second.owner)) return reply(0, "");
+  const std::uint64_t number = ++next_ask_;
+  asks_[number] = std::move(reply);
+  hooks_.ask_peer(part->second.owner, {number, cancel, id});
+  rt_.after(k::kMeshAskMs, [this, number] { peer_answer({number, 0, ""}); });
+}
+
+void Desk::peer_answer(const mesh::Answer& a) {
+  auto it = asks_.find(a.number);
+  if (it == asks_.end()) return;
+  Reply reply = std::move(it->second);
+  asks_.erase(it);
+  reply(a.status, a.body);
+}
+
+}  // namespace eiderreel
--- /dev/null
+++ b/src/actors/desk.h
@@ -0,0 +1,52 @@
+// The front desk: what users ask of this node, whoever owns the part in question.
+#pragma once
+#include <map>
+#include <string>
+
+#include "actors/owner.h"
+#include "actors/registrar.h"
+
+namespace eiderreel {
+
+class Desk {
+ public:
+  struct Hooks {
+    // Sends a question to a peer over the mesh.
+    std::function<void(const std::string& node, const mesh::Ask&)> ask_peer;
+  };
+  struct Counters {
+    std::map<int, std::uint64_t> submits, polls, cancels;  // by status
+  };
+
+  Desk(Runtime& rt, const Settings& s, Registrar& registrar, Owner& owner);
+  void start(Hooks hooks) { hooks_ = std::move(hooks); }
+
+  // --- messages ---
+  void submit(const std::string& body, Reply reply);
+  void poll(const std::string& id, Reply reply);
+  void cancel(const std::string& id, Reply reply);
+  void peer_answer(const mesh::Answer& a);
+  void types_known(const std::vector<MachineType>& types) { types_ = types; }
+
+  bool ready() const { return registrar_.view().ready && !types_.empty(); }
+  const Counters& counters() const { return counters_; }
+
+ private:
+  // Asks the owner, here or over the mesh; status 0 when it cannot be had.
+  void ask_owner(const std::string& id, bool cancel, Reply reply);
+  void look_up(const std::string& id, bool cancel, Reply reply);
+  void read_open(const std::string& id, bool cancel, Reply reply);
+  std::string can_never_run(const JobSpec& j) const;
+
+  Runtime& rt_;
+  const Settings& s_;
+  Registrar& registrar_;
+  Owner& owner_;
+  Hooks hooks_;
+  std::vector<MachineType> types_;
+  std::uint64_t next_ask_ = 0;
+  std::map<std::uint64_t, Reply> asks_;
+  Counters counters_;
+};
+
+}  // namespace eiderreel
--- /dev/null
+++ b/src/actors/fleet.h
@@ -0,0 +1,83 @@
+// The fleet: machines of the cloud. Only the leader acts, the owner of part 0: it assigns new
+// machines to parts, advises moves of idle ones, rents and returns. Every node reads the catalog.
+#pragma once
+#include <map>
+#include <set>
+#include <string>
+
+#include "actors/owner.h"
+#include "actors/registrar.h"
+
+namespace eiderreel {
+
+class Fleet {
+ public:
+  struct Hooks {
+    std::function<void(const std::vector<MachineType>&)> types_known;
+    std::function<void(const std::string& node, const mesh::Body&)> send;
+    std::function<void(const std::vector<std::string>&)> machines_gone;  // here and at peers
+  };
+  struct Counters {
+    std::map<int, std::uint64_t> replies;  // by status
+    std::uint64_t rented = 0, returned = 0, moves = 0;
+  };
+
+  Fleet(Runtime& rt, const Settings& s, Registrar& registrar, Owner& owner);
+  void start(Hooks hooks);
+  void tick();
+  void assign(const Report& r, Reply reply);  // an unknown machine has reported to us, the leader
+  const Counters& counters() const { return counters_; }
+
+ private:
+  struct Known {  // a machine as the cloud last listed it
+    codec::ListedMachine listed;
+    Ms last_seen = 0;
+  };
+  struct Rented {  // ours, not listed or not up yet
+    std::string type, zone;
+    bool spot = false;
+    Ms at = 0;
+  };
+
+  void get_catalog();
+  void list(const std::string& since);
+  void listed_all();
+  void balance();
+  void scale();
+  void rent(const MachineType& t, const std::string& zone, bool spot, int count);
+  void send_charter(const MachineType& t, const std::string& zone, bool spot, int count,
+                    const std::string& charter, int tries);
+  void release(const std::string& id, const codec::MachineRecord& record, std::uint64_t stamp);
+  void return_released();
+  void forget(const std::string& id);
+  void call(HttpRequest r, std::function<void(HttpReply)> done);
+  double weight(int part) const;
+  double assigned_cpus(int part) const;
+  int part_for(const std::string& type) const;
+  const MachineType* type(const std::string& name) const;
+  void advise(const std::string& machine, int to);
+
+  Runtime& rt_;
+  const Settings& s_;
+  Registrar& registrar_;
+  Owner& owner_;
+  Hooks hooks_;
+  std::vector<MachineType> types_;
+  bool catalog_asked_ = false, listing_ = false, returning_ = false, renting_ = false;
+  Ms catalog_at_ = 0, listed_at_ = 0, list_sent_ = 0, balanced_at_ = 0, scaled_at_ = 0, short_since_ = 0;
+  double tokens_ = 0;
+  Ms refilled_ = 0;
+  bool was_leading_ = false;
+  Ms leading_since_ = 0;
+  std::set<std::string> in_list_;
+  std::map<std::string, Known> known_;
+  std::map<std::string, Rented> rented_;
+  std::map<std::string, Reply> assigning_;
+  std::map<std::string, Ms> refused_;  // type/zone/kind -> when to ask again
+  std::set<std::string> changing_;     // machine keys with a commit on its way
+  std::map<std::string, Ms> idle_since_;
+  std::uint64_t charter_counter_ = 0;
+  Counters counters_;
+};
+
+}  // namespace eiderreel
--- /dev/null
+++ b/src/actors/node.cc
@@ -0,0 +1,112 @@
+#include "actors/node.h"
+
+#include <spdlog/spdlog.h>
+
+namespace eiderreel {
+
+namespace k = constants;
+
+Node::Node(Runtime& rt, const Settings& s)
+    : rt_(rt),
+      s_(s),
+      registrar_(rt, s),
+      owner_(rt, s, registrar_),
+      desk_(rt, s, registrar_, owner_),
+      fleet_(rt, s, registrar_, owner_) {}
+
+void Node::send(const std::string& node, const mesh::Body& body) {
+  rt_.send(node, mesh::encode({s_.node, body}));
+}
+
+void Node::broadcast(const mesh::Body& body) {
+  const std::string bytes = mesh::encode({s_.node, body});
+  for (const auto& p : s_.peers) rt_.send(p.name, bytes);
+}
+
+void Node::start() {
+  owner_.start({[this](const Report& r, Reply reply) { fleet_.assign(r, std::move(reply)); },
+                [this](const mesh::Body& b) { broadcast(b); }});
+  desk_.start({[this](const std::string& node, const mesh::Ask& a) { send(node, a); }});
+  fleet_.start({[this](const std::vector<MachineType>& types) {
+                  owner_.types_known(types);
+                  desk_.types_known(types);
+                },
+                [this](const std::string& node, const mesh::Body& b) { send(node, b); },
+                [this](const std::vector<std::string>& ids) {
+                  owner_.machines_gone(ids);
+                  broadcast(mesh::Gone{ids});
+                }});
+  registrar_.start({[this](const std::string& id) { owner_.job_opened(id); },
+                    [this](const std::string& id) { owner_.job_closed(id); },
+                    [this](const std::string& id) { owner_.machine_changed(id); },
+                    [this](int part) { owner_.part_changed(part); },
+                    [this] { owner_.grant_lost(); }});
+}
+
+void Node::tick() {
+  registrar_.tick();
+  owner_.tick();
+  fleet_.tick();
+}
+
+void Node::frame(const std::string& bytes) {
+  auto m = mesh::decode(bytes);
+  if (!m) {
+    spdlog::warn("mesh frame malformed bytes={}", bytes.size());
+    return;
+  }
+  struct Visitor {
+    Node& n;
+    const std::string& from;
+    void operator()(const mesh::Hello&) {}
+    void operator()(const mesh::Ask& a) {
+      n.owner_.ask(a, [node = &n, from = from, number = a.number](int status, std::string body) {
+        node->send(from, mesh::Answer{number, status, std::move(body)});
+      });
+    }
+    void operator()(const mesh::Answer& a) { n.desk_.peer_answer(a); }
+    void operator()(const mesh::Status& s) { n.owner_.peer_status(from, s); }
+    void operator()(const mesh::Move& mv) { n.owner_.move(mv); }
+    void operator()(const mesh::Unassigned&) {}
+    void operator()(const mesh::Gone& g) { n.owner_.machines_gone(g.machines); }
+    void operator()(const mesh::PledgeAsk&) {}
+    void operator()(const mesh::Pledge&) {}
+  };
+  std::visit(Visitor{*this, m->from}, m->body);
+}
+
+void Node::request(const std::string& method, const std::string& path, const std::string& body,
+                   Reply reply) {
+  auto only = [&](const char* allowed) {
+    if (method == allowed) return true;
+    reply(405, codec::error_body(std::string("use ") + allowed));
+    return false;
+  };
+  if (path == "/v1/report") {
+    if (!only("POST")) return;
+    auto r = codec::parse_report(body);
+    if (!r) return reply(400, codec::error_body("malformed report"));
+    return owner_.report(*r, std::move(reply));
+  }
+  if (path == "/ready") {
+    if (!only("GET")) return;
+    return desk_.ready() ? reply(200, "{}") : reply(503, codec::error_body("not ready yet"));
+  }
+  if (path == "/v1/jobs") {
+    if (!only("POST")) return;
+    return desk_.submit(body, std::move(reply));
+  }
+  static const std::string kJobs = "/v1/jobs/";
+  static const std::string kCancel = "/cancel";
+  if (path.compare(0, kJobs.size(), kJobs) == 0) {
+    std::string id = path.substr(kJobs.size());
+    const bool cancel = id.size() > kCancel.size() &&
+                        id.compare(id.size() - kCancel.size(), kCancel.size(), kCancel) == 0;
+    if (!only(cancel ? "POST" : "GET")) return;
+    if (cancel) return desk_.cancel(id.substr(0, id.size() - kCancel.size()), std::move(reply));
+    return desk_.poll(id, std::move(reply));
+  }
+  reply(404, codec::error_body("no such path"));
+}
+
+}  // namespace eiderreel
--- /dev/null
+++ b/src/actors/owner.cc
@@ -0,0 +1,506 @@
+#include "actors/owner.h"
+
+#include <spdlog/spdlog.h>
+
+namespace eiderreel {
+
+namespace k = constants;
+
+Owner::Owner(Runtime& rt, const Settings& s, Registrar& registrar)
+    : rt_(rt), s_(s), registrar_(registrar) {}
+
+Owner::Owned* Owner::owned(int part) {
+  auto it = owned_.find(part);
+  return it == owned_.end() ? nullptr : &it->second;
+}
+
+// Invariant 6: whoever is not surely the owner does nothing.
+bool Owner::acting(int part) const {
+  auto it = owned_.find(part);
+  return it != owned_.end() && it->second.active && registrar_.grant_alive();
+}
+
+Owner::Owned* Owner::acting_owned(int part) { return acting(part) ? owned(part) : nullptr; }
+
+int Owner::part_of_job(const std::string& id) const {
+  auto it = registrar_.view().jobs.find(id);
+  return it == registrar_.view().jobs.end() ? -1 : s_.part_of_team(it->second.spec.team);
+}
+
+bool Owner::peer_alive(const std::string& node) const {
+  auto it = peers_.find(node);
+  return it != peers_.end() && rt_.now() - it->second.at < k::kStatusStaleMs;
+}
+
+std::map<int, PartNeed> Owner::needs() const {
+  std::map<int, PartNeed> out;
+  const Ms now = rt_.now();
+  for (const auto& [name, p] : peers_)
+    if (now - p.at < k::kStatusStaleMs)
+      for (const auto& [part, n] : p.status.parts) out[part] = n;
+  for (const auto& [part, o] : owned_)
+    if (acting(part)) out[part] = o.core->need(now);
+  return out;
+}
+
+std::map<int, const Part*> Owner::parts() const {
+  std::map<int, const Part*> out;
+  for (const auto& [part, o] : owned_) out[part] = o.core.get();
+  return out;
+}
+
+// ----------------------------------------------------------- claims, hand-back and loss
+
+void Owner::claim_vacant() {
+  const View& v = registrar_.view();
+  if (!v.ready || !registrar_.grant_alive()) return;
+  const Ms now = rt_.now();
+  for (int part = 0; part < s_.parts; ++part) {
+    if (v.parts.count(part) || claiming_.count(part)) {
+      vacant_since_.erase(part);
+      continue;
+    }
+    const Ms since = vacant_since_.emplace(part, now).first->second;
+    const std::string home = s_.home_of(part);
+    Ms wait = 0;
+    if (home != s_.node) wait = v.nodes.count(home) ? k::kClaimHomeAliveMs : k::kClaimOtherMs;
+    if (now - since >= wait) claim(part);
+  }
+}
+
+void Owner::claim(int part) {
+  claiming_.insert(part);
+  Commit c;
+  c.nonce = registrar_.nonce();
+  c.guards = {{codec::part_key(part), 0}};
+  c.writes = {{codec::part_key(part),
+               codec::encode(codec::PartRecord{s_.node, registrar_.grant()}, c.nonce), true}};
+  c.urgent = true;
+  const std::uint64_t grant = registrar_.grant();
+  c.done = [this, part, grant](Outcome o, std::uint64_t stamp) {
+    claiming_.erase(part);
+    if (o == Outcome::ok && grant == registrar_.grant()) activate(part, stamp);
+  };
+  registrar_.commit(std::move(c));
+}
+
+void Owner::activate(int part, std::uint64_t stamp) {
+  if (owned_.count(part)) return;
+  ++counters_.claims;
+  spdlog::info("part claimed part={} term={} node={}", part, stamp, s_.node);
+  Owned& o = owned_[part];
+  o.core = std::make_unique<Part>(
+      part, stamp, rt_.now(),
+      PartLimits{static_cast<Ms>(s_.lease_s * 1000), static_cast<Ms>(s_.report_s * 1000)},
+      s_.teams_of(part));
+  o.core->set_types(types_);
+  // The picture is whole once the view has our claim: nothing of the part's changes after it
+  // without us, but for new jobs and machines, which the view will tell.
+  registrar_.when_seen(stamp, [this, part, stamp] { load_done(part, stamp); });
+}
+
+void Owner::load_done(int part, std::uint64_t stamp) {
+  Owned* o = owned(part);
+  if (!o || o->core->term() != stamp) return;
+  registrar_.list(codec::done_prefix(part), [this, part, stamp](auto rows) {
+    Owned* o = owned(part);
+    if (!o || o->core->term() != stamp) return;
+    if (!rows) {
+      rt_.after(k::kRetryMs, [this, part, stamp] { load_done(part, stamp); });
+      return;
+    }
+    const View& v = registrar_.view();
+    std::map<std::string, std::vector<std::uint32_t>> done;
+    for (const auto& r : *rows) {
+      const std::string job = codec::done_key_job(r.key);
+      if (!v.jobs.count(job) || !r.done) continue;
+      done[job].insert(done[job].end(), r.done->tasks.begin(), r.done->tasks.end());
+      const auto chunk = static_cast<std::uint32_t>(std::stoul(codec::key_name(r.key)));
+      o->flushes[job].chunk_stamps[chunk] = r.stamp;
+    }
+    const Ms now = rt_.now();
+    for (const auto& [id, m] : v.machines)
+      if (m.record.part == part) o->core->add_machine(id, m.stamp, m.stamp > stamp, now);
+    for (const auto& [id, j] : v.jobs)
+      if (s_.part_of_team(j.spec.team) == part)
+        o->core->open_job(j.spec, j.stamp, j.stamp < stamp, done[id]);
+    o->active = true;
+    spdlog::info("part active part={} term={} jobs={} machines={}", part, stamp,
+                 o->core->job_count(), o->core->machine_names().size());
+  });
+}
+
+void Owner::drop(int part, const char* reason) {
+  auto it = owned_.find(part);
+  if (it == owned_.end()) return;
+  spdlog::info("part dropped part={} term={} reason={}", part, it->second.core->term(), reason);
+  auto parked = std::move(it->second.parked);
+  owned_.erase(it);
+  for (auto& [id, p] : parked) p.reply(503, "");
+}
+
+void Owner::grant_lost() {
+  while (!owned_.empty()) drop(owned_.begin()->first, "grant-lost");
+}
+
+void Owner::part_changed(int part) {
+  Owned* o = owned(part);
+  if (!o) return;
+  auto it = registrar_.view().parts.find(part);
+  const bool ours = it != registrar_.view().parts.end() && it->second.owner == s_.node &&
+                    it->second.stamp == o->core->term();
+  if (!ours) drop(part, "key-changed");
+}
+
+// A part whose home node is up again goes back to it: the key is deleted under guard, and its
+// home claims it. We stop acting before the commit is sent, since it may land unanswered.
+void Owner::hand_back() {
+  const View& v = registrar_.view();
+  const Ms now = rt_.now();
+  for (auto& [part, o] : owned_) {
+    const std::string home = s_.home_of(part);
+    if (home == s_.node || !o.active || !registrar_.grant_alive()) continue;
+    auto node = v.nodes.find(home);
+    if (node == v.nodes.end() || now - node->second.seen < k::kHandBackAfterMs ||
+        !peer_alive(home))
+      continue;
+    const std::uint64_t stamp = o.core->term();
+    const int p = part;
+    drop(p, "handed-back");
+    ++counters_.handed_back;
+    Commit c;
+    c.nonce = registrar_.nonce();
+    c.guards = {{codec::part_key(p), stamp}};
+    c.writes = {{codec::part_key(p), "", false}};
+    c.urgent = true;
+    c.done = [](Outcome, std::uint64_t) {};
+    registrar_.commit(std::move(c));
+    return;  // the map has changed; one a tick is enough
+  }
+}
+
+// ------------------------------------------------------------------------------ reports
+
+void Owner::report(const Report& r, Reply reply) {
+  ++counters_.reports;
+  const View& v = registrar_.view();
+  if (!v.ready) return reply(503, "");
+  auto upstream = [&](int part) {
+    auto it = v.parts.find(part);
+    if (it == v.parts.end() || it->second.owner == s_.node) return reply(503, "");
+    reply(421, codec::upstream_body(it->second.owner));
+  };
+  auto m = v.machines.find(r.machine);
+  if (m == v.machines.end()) {
+    if (leading()) return hooks_.assign(r, std::move(reply));
+    return upstream(0);
+  }
+  if (m->second.record.part < 0) return reply(503, "");  // released; it is being returned
+  Owned* o = acting_owned(m->second.record.part);
+  if (!o) return upstream(m->second.record.part);
+  // A newer report of the worker: it no longer waits for the answer to the parked one.
+  if (auto p = o->parked.find(r.machine); p != o->parked.end()) {
+    auto old = std::move(p->second.reply);
+    o->parked.erase(p);
+    old(503, "");
+  }
+  const Ms now = rt_.now();
+  Answer a = o->core->on_report(r, now);
+  if (a.verdict == Verdict::stale) {
+    ++counters_.stale_reports;
+    return reply(503, "");
+  }
+  if (r.term < a.term) return answer(*o, r.machine, std::move(a.orders), std::move(reply));
+  auto starts = o->core->place(r.machine, now);
+  a.orders.insert(a.orders.end(), starts.begin(), starts.end());
+  const Ms park = a.orders.empty() ? o->core->park_ms(r.machine) : 0;
+  if (park > 0) {
+    ++counters_.parked;
+    o->parked[r.machine] = {std::move(reply), now + park};
+    return;
+  }
+  answer(*o, r.machine, std::move(a.orders), std::move(reply));
+}
+
+void Owner::answer(Owned& o, const std::string& machine, std::vector<Order> orders, Reply reply) {
+  for (const auto& order : orders)
+    if (order.verb == Verb::launch) {
+      ++counters_.starts;
+      spdlog::debug("task start job={} task={} try={} machine={} term={}", order.job, order.index,
+                    order.attempt, machine, o.core->term_of(machine));
+    }
+  o.core->answered(machine, rt_.now());
+  reply(200, codec::report_answer(o.core->term_of(machine), orders));
+}
+
+// Work has come or room has freed: the parked machines are looked at, one by one.
+void Owner::pump(Owned& o) {
+  const Ms now = rt_.now();
+  std::vector<std::pair<std::string, std::vector<Order>>> ready;
+  const bool waiting = o.core->has_waiting();
+  for (auto& [id, p] : o.parked) {
+    auto starts = waiting ? o.core->place(id, now) : std::vector<Order>{};
+    if (!starts.empty() || p.until <= now) ready.emplace_back(id, std::move(starts));
+  }
+  for (auto& [id, starts] : ready) {
+    auto reply = std::move(o.parked[id].reply);
+    o.parked.erase(id);
+    answer(o, id, std::move(starts), std::move(reply));
+  }
+}
+
+void Owner::send_kills(Owned& o) {
+  for (auto& kill : o.core->take_kills()) {
+    // A worker that waits for its answer hears of it there; the others by /commands.
+    if (auto p = o.parked.find(kill.machine); p != o.parked.end()) {
+      auto reply = std::move(p->second.reply);
+      o.parked.erase(p);
+      answer(o, kill.machine, std::move(kill.orders), std::move(reply));
+      continue;
+    }
+    rt_.http({kill.addr, "POST", "/commands",
+              codec::commands_body(kill.term, kill.tenure, kill.orders), k::kCommandTimeoutMs},
+             [](HttpReply) {});  // its next report tells what came of it
+  }
+}
+
+void Owner::machines_gone(const std::vector<std::string>& machines) {
+  for (auto& [part, o] : owned_)
+    for (const auto& id : machines)
+      if (o.core->has_machine(id)) {
+        spdlog::info("machine gone machine={} part={} proof=cloud", id, part);
+        o.core->machine_gone(id, rt_.now());
+      }
+}
+
+void Owner::machine_changed(const std::string& id) {
+  const View& v = registrar_.view();
+  auto it = v.machines.find(id);
+  const int part = it == v.machines.end() ? -1 : it->second.record.part;
+  for (auto& [p, o] : owned_) {
+    if (!o.active) continue;  // it will read the view
+    if (p == part) {
+      o.core->add_machine(id, it->second.stamp, it->second.stamp > o.core->term(), rt_.now());
+    } else if (o.core->has_machine(id)) {
+      // Given away by our own commit, idle; or released. Nothing of ours is on it.
+      if (auto parked = o.parked.find(id); parked != o.parked.end()) {
+        auto reply = std::move(parked->second.reply);
+        o.parked.erase(parked);
+        reply(503, "");
+      }
+      o.leaving.erase(id);
+      o.core->remove_machine(id, rt_.now());
+    }
+  }
+}
+
+// The leader's advice. Invariant 3: only the owner gives a machine away, idle, under guard.
+void Owner::move(const mesh::Move& m) {
+  const View& v = registrar_.view();
+  auto it = v.machines.find(m.machine);
+  if (it == v.machines.end() || it->second.record.part < 0 || m.part == it->second.record.part ||
+      m.part >= s_.parts)
+    return;
+  const int part = it->second.record.part;
+  Owned* o = acting_owned(part);
+  if (!o || o->leaving.count(m.machine) || !o->core->begin_leave(m.machine)) return;
+  o->leaving.insert(m.machine);
+  codec::MachineRecord record = it->second.record;
+  record.part = m.part;
+  Commit c;
+  c.nonce = registrar_.nonce();
+  c.guards = {{codec::machine_key(m.machine), it->second.stamp},
+              {codec::part_key(part), o->core->term()}};
+  c.writes = {{codec::machine_key(m.machine), codec::encode(record, c.nonce), false}};
+  const std::uint64_t term = o->core->term();
+  spdlog::info("machine moves machine={} from={} to={} term={}", m.machine, part, m.part, term);
+  c.done = [this, part, term, m, id = m.machine](Outcome out, std::uint64_t) {
+    Owned* o = owned(part);
+    if (!o || o->core->term() != term) return;
+    // In doubt it stays on its way out, since the commit may still land, and is tried again.
+    o->leaving.erase(id);
+    if (out == Outcome::unknown)
+      rt_.after(k::kRetryMs, [this, m] { move(m); });
+    else
+      o->core->end_leave(id);
+  };
+  registrar_.commit(std::move(c));
+}
+
+// --------------------------------------------------------------------------------- jobs
+
+void Owner::job_opened(const std::string& id) {
+  const auto& j = registrar_.view().jobs.at(id);
+  Owned* o = owned(s_.part_of_team(j.spec.team));
+  if (!o || !o->active) return;  // it will read the view
+  o->core->open_job(j.spec, j.stamp, j.stamp < o->core->term(), {});
+  pump(*o);
+}
+
+void Owner::job_closed(const std::string& id) {
+  for (auto& [part, o] : owned_) {
+    o.flushes.erase(id);
+    if (!o.core->has_job(id)) continue;
+    o.core->close_job(id);
+    send_kills(o);
+    if (o.active) pump(o);
+  }
+}
+
+void Owner::ask(const mesh::Ask& a, Reply reply) {
+  const int part = part_of_job(a.job);
+  Owned* o = part < 0 ? nullptr : acting_owned(part);
+  auto status = o ? o->core->status(a.job) : std::nullopt;
+  if (!status) return reply(0, "");
+  if (!a.cancel) return reply(200, codec::job_status(a.job, *status));
+  finish(part, a.job, JobPhase::cancelled, std::move(reply));
+}
+
+std::vector<codec::Guard> Owner::job_guards(int part, const std::string& id) const {
+  const Part& core = *owned_.at(part).core;
+  return {{codec::part_key(part), core.term()}, {codec::job_key(id), core.job_stamp(id)}};
+}
+
+// Invariant 7: done and cancelled are told only after this commit. Until its outcome is known
+// nothing of the job is started; in doubt it is tried again for as long as we are the owner.
+void Owner::finish(int part, const std::string& id, JobPhase phase, Reply reply) {
+  Owned& o = owned_.at(part);
+  Flush& f = o.flushes[id];
+  if (f.in_flight) return reply(503, codec::error_body("the job is changing"));
+  f.in_flight = true;
+  o.core->hold_job(id);
+  Commit c;
+  c.nonce = registrar_.nonce();
+  c.guards = job_guards(part, id);
+  c.writes = {{codec::final_key(id), codec::encode_final(phase, c.nonce), false},
+              {codec::job_key(id), "", false}};
+  for (const auto& [chunk, stamp] : f.chunk_stamps)
+    c.writes.push_back({codec::done_key(part, id, chunk), "", false});
+  const std::uint64_t term = o.core->term();
+  c.done = [this, part, id, phase, term, reply](Outcome out, std::uint64_t) {
+    Owned* o = owned(part);
+    const bool still = o && o->core->term() == term;
+    if (out == Outcome::ok) {
+      spdlog::info("job {} job={} term={}", codec::phase_name(phase), id, term);
+      reply(200, codec::job_answer(id, phase));
+      return;
+    }
+    if (still) {
+      auto f = o->flushes.find(id);
+      if (f != o->flushes.end()) {
+        f->second.in_flight = false;
+        f->second.last = rt_.now();
+      }
+      if (out == Outcome::refused && phase == JobPhase::cancelled) o->core->release_job(id);
+    }
+    spdlog::warn("job not-final job={} phase={} term={} outcome={}", id, codec::phase_name(phase),
+                 term, static_cast<int>(out));
+    reply(503, codec::error_body("the state service did not confirm; ask again"));
+    if (still && out == Outcome::unknown && phase == JobPhase::cancelled)
+      rt_.after(k::kRetryMs, [this, part, id, term] {
+        Owned* o = acting_owned(part);
+        if (o && o->core->term() == term && o->core->has_job(id))
+          finish(part, id, JobPhase::cancelled, [](int, std::string) {});
+      });
+  };
+  registrar_.commit(std::move(c));
+}
+
+void Owner::flush(int part, Owned& o) {
+  const Ms now = rt_.now();
+  for (const auto& id : o.core->jobs_to_record()) {
+    Flush& f = o.flushes[id];
+    if (f.in_flight) continue;
+    if (o.core->complete(id)) {
+      if (now - f.last >= k::kRetryMs) finish(part, id, JobPhase::done, [](int, std::string) {});
+    } else if (!o.core->held(id) && now - f.last >= k::kDoneBatchMs) {
+      flush_job(part, o, id);
+    }
+  }
+}
+
+// The done tasks of one job, in one batch. A chunk is guarded by its own stamp, so a late copy
+// of an earlier batch cannot undo a later one.
+void Owner::flush_job(int part, Owned& o, const std::string& id) {
+  Flush& f = o.flushes[id];
+  f.in_flight = true;
+  f.last = rt_.now();
+  const auto tasks = o.core->unrecorded(id);
+  std::set<std::uint32_t> chunks;
+  for (auto t : tasks) chunks.insert(t / k::kDoneChunk);
+  Commit c;
+  c.nonce = registrar_.nonce();
+  c.guards = job_guards(part, id);
+  for (auto chunk : chunks) {
+    auto stamp = f.chunk_stamps.find(chunk);
+    const std::string key = codec::done_key(part, id, chunk);
+    c.guards.push_back({key, stamp == f.chunk_stamps.end() ? 0 : stamp->second});
+    c.writes.push_back(
+        {key, codec::encode_done(o.core->done_in_chunk(id, chunk), chunk, c.nonce), false});
+  }
+  const std::uint64_t term = o.core->term();
+  c.done = [this, part, id, term, tasks, chunks](Outcome out, std::uint64_t stamp) {
+    Owned* o = owned(part);
+    if (!o || o->core->term() != term) return;
+    auto f = o->flushes.find(id);
+    if (f == o->flushes.end()) return;
+    f->second.in_flight = false;
+    if (out == Outcome::ok) {
+      for (auto chunk : chunks) f->second.chunk_stamps[chunk] = stamp;
+      o->core->mark_recorded(id, tasks);
+    } else if (out != Outcome::refused) {
+      // Which batch stands there is not known: read the stamps before the next one.
+      for (auto chunk : chunks)
+        registrar_.read(codec::done_key(part, id, chunk), [this, part, id, term, chunk](auto row) {
+          Owned* o = owned(part);
+          if (!row || !o || o->core->term() != term) return;
+          auto f = o->flushes.find(id);
+          if (f != o->flushes.end()) f->second.chunk_stamps[chunk] = row->stamp;
+        });
+    }
+  };
+  registrar_.commit(std::move(c));
+}
+
+// --------------------------------------------------------------------------------- pace
+
+void Owner::types_known(const std::vector<MachineType>& types) {
+  types_ = types;
+  for (auto& [part, o] : owned_) o.core->set_types(types_);
+}
+
+void Owner::peer_status(const std::string& node, const mesh::Status& s) {
+  peers_[node] = {rt_.now(), s};
+}
+
+void Owner::tick() {
+  claim_vacant();
+  hand_back();
+  const Ms now = rt_.now();
+  for (auto& [part, o] : owned_) {
+    if (!o.active) continue;
+    for (const auto& id : o.core->tick(now)) {
+      ++counters_.leases_over;
+      spdlog::info("machine gone machine={} part={} term={} proof=lease", id, part,
+                   o.core->term_of(id));
+    }
+    if (!acting(part)) {
+      // Not entitled at the moment: those who wait are sent on, nothing is started.
+      auto parked = std::move(o.parked);
+      o.parked.clear();
+      for (auto& [id, p] : parked) p.reply(503, "");
+      continue;
+    }
+    pump(o);
+    flush(part, o);
+  }
+  if (now - last_status_ >= k::kStatusEveryMs) {
+    last_status_ = now;
+    mesh::Status s;
+    for (const auto& [part, o] : owned_)
+      if (acting(part)) s.parts.emplace_back(part, o.core->need(now));
+    hooks_.broadcast(s);
+  }
+}
+
+}  // namespace eiderreel
--- /dev/null
+++ b/src/actors/owner.h
@@ -0,0 +1,106 @@
+// The part owner: claims parts, keeps their grants in mind, answers reports and asks of its parts.
+// It alone speaks for a part, and only while its grant is surely alive.
+#pragma once
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "actors/registrar.h"
+#include "codec/mesh.h"
+#include "core/part.h"
+
+namespace eiderreel {
+
+class Owner {
+ public:
+  struct Hooks {
+    // An unknown machine has reported here, and we lead: assign it.
+    std::function<void(const Report&, Reply)> assign;
+    // News of load for the leader and the hand-back.
+    std::function<void(const mesh::Body&)> broadcast;
+  };
+  struct Counters {
+    std::uint64_t claims = 0, handed_back = 0, reports = 0, stale_reports = 0, parked = 0;
+    std::uint64_t starts = 0, leases_over = 0;
+  };
+
+  Owner(Runtime& rt, const Settings& s, Registrar& registrar);
+  void start(Hooks hooks) { hooks_ = std::move(hooks); }
+  void tick();
+
+  // --- messages ---
+  void report(const Report& r, Reply reply);
+  void ask(const mesh::Ask& a, Reply reply);  // status 0: not entitled to answer
+  void move(const mesh::Move& m);
+  void peer_status(const std::string& node, const mesh::Status& s);
+  void machines_gone(const std::vector<std::string>& machines);
+  void job_opened(const std::string& id);
+  void job_closed(const std::string& id);
+  void machine_changed(const std::string& id);
+  void part_changed(int part);
+  void grant_lost();
+  void types_known(const std::vector<MachineType>& types);
+
+  // --- what others may know ---
+  bool acting(int part) const;
+  bool leading() const { return acting(0); }
+  bool peer_alive(const std::string& node) const;
+  // The newest need of every part, ours and the peers'.
+  std::map<int, PartNeed> needs() const;
+  std::map<int, const Part*> parts() const;
+  const Counters& counters() const { return counters_; }
+
+ private:
+  struct Parked {
+    Reply reply;
+    Ms until = 0;
+  };
+  struct Flush {
+    Ms last = 0;
+    bool in_flight = false;
+    std::map<std::uint32_t, std::uint64_t> chunk_stamps;
+  };
+  struct Owned {
+    std::unique_ptr<Part> core;
+    bool active = false;
+    std::map<std::string, Parked> parked;
+    std::map<std::string, Flush> flushes;
+    std::set<std::string> leaving;
+  };
+  struct PeerNews {
+    Ms at = 0;
+    mesh::Status status;
+  };
+
+  Owned* owned(int part);
+  Owned* acting_owned(int part);
+  int part_of_job(const std::string& id) const;
+  void claim_vacant();
+  void claim(int part);
+  void activate(int part, std::uint64_t stamp);
+  void load_done(int part, std::uint64_t stamp);
+  void hand_back();
+  void drop(int part, const char* reason);
+  void answer(Owned& o, const std::string& machine, std::vector<Order> orders, Reply reply);
+  void pump(Owned& o);
+  void send_kills(Owned& o);
+  void flush(int part, Owned& o);
+  void flush_job(int part, Owned& o, const std::string& id);
+  void finish(int part, const std::string& id, JobPhase phase, Reply reply);
+  std::vector<codec::Guard> job_guards(int part, const std::string& id) const;
+
+  Runtime& rt_;
+  const Settings& s_;
+  Registrar& registrar_;
+  Hooks hooks_;
+  std::map<int, Owned> owned_;
+  std::map<int, Ms> vacant_since_;
+  std::set<int> claiming_;
+  std::map<std::string, PeerNews> peers_;
+  std::vector<MachineType> types_;
+  Ms last_status_ = 0;
+  Counters counters_;
+};
+
+}  // namespace eiderreel
--- /dev/null
+++ b/src/actors/registrar.cc
@@ -0,0 +1,437 @@
+#include "actors/registrar.h"
+
+#include <spdlog/spdlog.h>
+
+#include <array>
+#include <memory>
+
+namespace eiderreel {
+namespace {
+
+namespace k = constants;
+
+const std::array<std::string, 4> kFollowed = {"e/job/", "e/machine/", "e/node/", "e/part/"};
+
+bool under(const std::string& key, const std::string& prefix) {
+  return key.compare(0, prefix.size(), prefix) == 0;
+}
+
+// In doubt: no answer, or one that does not tell whether the request was carried out.
+bool in_doubt(int status) { return status == 0 || (status >= 500 && status != 503); }
+
+}  // namespace
+
+Registrar::Registrar(Runtime& rt, const Settings& s) : rt_(rt), s_(s) {
+  // The nodes share the budgets of the state service evenly.
+  const double nodes = static_cast<double>(s.peers.size() + 1);
+  rate_ = s.state_rps * k::kBudgetShare / nodes;
+  write_rate_ = s.state_write_rps * k::kBudgetShare / nodes;
+  tokens_ = rate_;
+  write_tokens_ = write_rate_;
+}
+
+void Registrar::start(Events events) {
+  events_ = std::move(events);
+  refilled_ = rt_.now();
+  begin_follow();
+}
+
+std::string Registrar::nonce() {
+  return s_.node + "." + rt_.boot_id() + "." + std::to_string(++nonce_counter_);
+}
+
+// ------------------------------------------------------------------------------ budgets
+
+void Registrar::submit(Pending p) {
+  p.request.addr = s_.state_addr;
+  if (queue_.size() >= k::kPendingMax && p.priority > 0) {
+    ++counters_.refused_here;
+    rt_.after(0, [done = std::move(p.done)] { done({429, ""}); });
+    return;
+  }
+  p.expires = rt_.now() + p.request.timeout;
+  auto pos = queue_.end();
+  while (pos != queue_.begin() && std::prev(pos)->priority > p.priority) --pos;
+  queue_.insert(pos, std::move(p));
+  pump();
+}
+
+void Registrar::pump() {
+  const Ms now = rt_.now();
+  const double dt = static_cast<double>(now - refilled_) / 1000.0;
+  refilled_ = now;
+  tokens_ = std::min(rate_, tokens_ + dt * rate_);
+  write_tokens_ = std::min(write_rate_, write_tokens_ + dt * write_rate_);
+  while (!queue_.empty()) {
+    Pending& front = queue_.front();
+    if (front.expires <= now && front.priority > 0) {
+      // It was never sent, so nothing was done.
+      ++counters_.refused_here;
+      auto done = std::move(front.done);
+      queue_.pop_front();
+      rt_.after(0, [done = std::move(done)] { done({429, ""}); });
+      continue;
+    }
+    const bool urgent = front.priority == 0;
+    const double want = std::min<double>(front.writes, write_rate_ - 0.5);
+    if (!urgent && (tokens_ < 1 || (front.writes > 0 && write_tokens_ < want))) return;
+    tokens_ -= 1;
+    write_tokens_ -= front.writes;
+    Pending p = std::move(front);
+    queue_.pop_front();
+    ++in_flight_;
+    rt_.http(std::move(p.request), [this, done = std::move(p.done)](HttpReply r) {
+      --in_flight_;
+      ++counters_.replies[r.status];
+      if (r.status != 0 && r.status != 503 && r.status != 429) last_good_ = rt_.now();
+      done(std::move(r));
+    });
+  }
+}
+
+void Registrar::tick() {
+  pump();
+  if (!view_.ready) return;
+  const Ms now = rt_.now();
+  if (grant_ == 0) {
+    get_grant();
+  } else if (!extending_ && now - last_extend_ >= k::kExtendEveryMs) {
+    extend();
+  }
+  if (grant_alive() && !node_written_ && !writing_node_) {
+    writing_node_ = true;
+    Commit c;
+    c.nonce = nonce();
+    c.writes = {{codec::node_key(s_.node),
+                 codec::encode(codec::NodeRecord{rt_.boot_id(), grant_}, c.nonce), true}};
+    c.urgent = true;
+    c.done = [this](Outcome o, std::uint64_t) {
+      writing_node_ = false;
+      node_written_ = o == Outcome::ok;
+    };
+    commit(std::move(c));
+  }
+}
+
+// -------------------------------------------------------------------------------- grant
+
+void Registrar::get_grant() {
+  if (granting_) return;
+  granting_ = true;
+  // An earlier process of this node has ended, so its grant holds back our parts for nothing.
+  auto old = view_.nodes.find(s_.node);
+  if (old != view_.nodes.end() && old->second.record.boot != rt_.boot_id() &&
+      old->second.record.grant != 0) {
+    const std::uint64_t grant = old->second.record.grant;
+    spdlog::info("grant end node={} grant={} reason=earlier-process", s_.node, grant);
+    submit({{"", "DELETE", "/grants/" + std::to_string(grant), "", k::kStateTimeoutMs},
+            0,
+            0,
+            0,
+            [this](HttpReply r) {
+              if (r.status == 200 || r.status == 404) view_.nodes.erase(s_.node);
+              rt_.after(r.status == 0 || r.status >= 429 ? k::kRetryMs : 0,
+                        [this] { granting_ = false; });
+            }});
+    return;
+  }
+  const Ms sent = rt_.now();
+  submit({{"", "POST", "/grants", codec::grant_body(k::kGrantLifeMs), k::kStateTimeoutMs},
+          0,
+          0,
+          0,
+          [this, sent](HttpReply r) {
+            auto id = r.status == 200 ? codec::parse_number(r.body, "tether") : std::nullopt;
+            if (id) {
+              grant_ = *id;
+              last_extend_ = sent;
+              alive_until_ = sent + static_cast<Ms>(k::kGrantLifeMs * (1 - k::kDrift)) -
+                             k::kGrantMarginMs;
+              node_written_ = false;
+              granting_ = false;
+              spdlog::info("grant new node={} grant={}", s_.node, grant_);
+            } else {
+              rt_.after(k::kRetryMs, [this] { granting_ = false; });
+            }
+          }});
+}
+
+void Registrar::extend() {
+  extending_ = true;
+  const Ms sent = rt_.now();
+  const std::uint64_t id = grant_;
+  last_extend_ = sent;
+  submit({{"", "POST", "/grants/" + std::to_string(id) + "/extend", "", k::kStateTimeoutMs},
+          0,
+          0,
+          0,
+          [this, sent, id](HttpReply r) {
+            extending_ = false;
+            if (id != grant_) return;
+            if (r.status == 200) {
+              alive_until_ = sent + static_cast<Ms>(k::kGrantLifeMs * (1 - k::kDrift)) -
+                             k::kGrantMarginMs;
+            } else if (r.status == 404) {
+              spdlog::warn("grant lost node={} grant={}", s_.node, grant_);
+              grant_ = 0;
+              alive_until_ = 0;
+              events_.grant_lost();
+            } else {
+              last_extend_ = rt_.now() - k::kExtendEveryMs + k::kRetryMs;  // again soon
+            }
+          }});
+}
+
+// --------------------------------------------------------------------------------- view
+
+void Registrar::begin_follow() {
+  loaded_.clear();
+  follow_since_ = 0;
+  load(0, "");
+}
+
+void Registrar::load(std::size_t prefix, std::string since) {
+  if (prefix == kFollowed.size()) {
+    // What an earlier view had and the list has not is gone.
+    auto gone = [&](const std::string& key) { return !loaded_.count(key); };
+    std::vector<std::string> missing;
+    for (const auto& [id, e] : view_.jobs)
+      if (gone(codec::job_key(id))) missing.push_back(codec::job_key(id));
+    for (const auto& [id, e] : view_.machines)
+      if (gone(codec::machine_key(id))) missing.push_back(codec::machine_key(id));
+    for (const auto& [id, e] : view_.nodes)
+      if (gone(codec::node_key(id))) missing.push_back(codec::node_key(id));
+    for (const auto& [id, e] : view_.parts)
+      if (gone(codec::part_key(id))) missing.push_back(codec::part_key(id));
+    for (const auto& key : missing) {
+      codec::StateRow r;
+      r.key = key;
+      r.deleted = true;
+      r.stamp = follow_since_;
+      apply(r, true);
+    }
+    follow(0);
+    return;
+  }
+  std::string path = "/kv?prefix=" + kFollowed[prefix] + "&page=" + std::to_string(k::kListPage);
+  if (!since.empty()) path += "&since=" + since;
+  submit({{"", "GET", path, "", k::kStateTimeoutMs * 2}, 0, 0, 0, [=, this](HttpReply r) {
+            auto page = r.status == 200 ? codec::parse_list(r.body) : std::nullopt;
+            if (!page) {
+              rt_.after(k::kRetryMs, [=, this] { load(prefix, since); });
+              return;
+            }
+            // Changes since the first page are followed from its ledger, so none is missed.
+            if (follow_since_ == 0) follow_since_ = page->ledger;
+            for (const auto& row : page->rows) {
+              loaded_.insert(row.key);
+              apply(row, true);
+            }
+            if (page->more && !page->rows.empty())
+              load(prefix, page->rows.back().key);
+            else
+              load(prefix + 1, "");
+          }});
+}
+
+void Registrar::follow(Ms wait) {
+  std::string path = "/follow?prefix=e/&since=" + std::to_string(follow_since_) +
+                     "&wait_ms=" + std::to_string(wait);
+  submit({{"", "GET", path, "", wait + k::kFollowSlackMs}, 0, 0, 0, [this](HttpReply r) {
+            if (r.status == 410) {
+              begin_follow();
+              return;
+            }
+            auto events = r.status == 200 ? codec::parse_events(r.body) : std::nullopt;
+            if (!events) {
+              rt_.after(k::kRetryMs, [this] { follow(k::kFollowWaitMs); });
+              return;
+            }
+            for (const auto& row : events->rows) apply(row, view_.ready);
+            follow_since_ = std::max(follow_since_, events->ledger);
+            view_.ledger = follow_since_;
+            if (!view_.ready) {
+              view_.ready = true;
+              spdlog::info("view ready node={} ledger={} jobs={} machines={}", s_.node,
+                           view_.ledger, view_.jobs.size(), view_.machines.size());
+            }
+            announce_seen();
+            rt_.after(k::kFollowPauseMs, [this] { follow(k::kFollowWaitMs); });
+          }});
+}
+
+void Registrar::announce_seen() {
+  while (!waiting_.empty() && waiting_.begin()->first <= view_.ledger) {
+    auto f = std::move(waiting_.begin()->second);
+    waiting_.erase(waiting_.begin());
+    f();
+  }
+}
+
+void Registrar::when_seen(std::uint64_t ledger, std::function<void()> done) {
+  if (view_.ledger >= ledger)
+    done();
+  else
+    waiting_.emplace(ledger, std::move(done));
+}
+
+void Registrar::remember_final(const std::string& id, JobPhase p) {
+  if (!view_.finals.emplace(id, p).second) return;
+  final_order_.push_back(id);
+  if (final_order_.size() > k::kFinalCache) {
+    view_.finals.erase(final_order_.front());
+    final_order_.pop_front();
+  }
+}
+
+// Rows may come twice and, from our own commits, ahead of their turn: an older stamp changes
+// nothing, and a final job never opens again.
+void Registrar::apply(const codec::StateRow& row, bool announce) {
+  const std::string name = codec::key_name(row.key);
+  if (under(row.key, "e/job/")) {
+    auto it = view_.jobs.find(name);
+    if (row.deleted) {
+      if (it == view_.jobs.end() || it->second.stamp > row.stamp) return;
+      view_.jobs.erase(it);
+      if (announce) events_.job_closed(name);
+    } else if (row.job && it == view_.jobs.end() && !view_.finals.count(name)) {
+      view_.jobs[name] = {*row.job, row.stamp};
+      if (announce) events_.job_opened(name);
+    }
+  } else if (under(row.key, "e/final/")) {
+    if (row.final_phase) remember_final(name, *row.final_phase);
+  } else if (under(row.key, "e/machine/")) {
+    auto& m = view_.machines;
+    auto it = m.find(name);
+    if (it != m.end() && it->second.stamp >= row.stamp) return;
+    if (row.deleted)
+      m.erase(name);
+    else if (row.machine)
+      m[name] = {*row.machine, row.stamp};
+    if (announce) events_.machine_changed(name);
+  } else if (under(row.key, "e/node/")) {
+    auto it = view_.nodes.find(name);
+    if (it != view_.nodes.end() && it->second.stamp >= row.stamp) return;
+    if (row.deleted)
+      view_.nodes.erase(name);
+    else if (row.node)
+      view_.nodes[name] = {*row.node, row.stamp, rt_.now()};
+  } else if (under(row.key, "e/part/")) {
+    const int part = std::atoi(name.c_str());
+    auto it = view_.parts.find(part);
+    if (it != view_.parts.end() && it->second.stamp >= row.stamp) return;
+    if (row.deleted)
+      view_.parts.erase(part);
+    else if (row.part)
+      view_.parts[part] = {row.part->owner, row.stamp};
+    if (announce) events_.part_changed(part);
+  }
+}
+
+void Registrar::apply_commit(const Commit& c, std::uint64_t ledger) {
+  // Puts first: the final record of a job must be known when its record goes.
+  for (bool deletes : {false, true}) {
+    for (const auto& w : c.writes) {
+      if (w.value.empty() != deletes || !under(w.key, "e/")) continue;
+      std::string text = codec::stored_row(w.key, w.value, ledger);
+      if (auto row = codec::parse_row(text)) apply(*row, true);
+    }
+  }
+}
+
+// ------------------------------------------------------------------------------ commits
+
+void Registrar::commit(Commit c) {
+  try_commit(std::make_shared<Commit>(std::move(c)), k::kCommitTries, false);
+}
+
+void Registrar::try_commit(std::shared_ptr<Commit> c, int tries, bool doubt) {
+  submit({{"", "POST", "/commit", codec::commit_body(c->guards, c->writes, grant_),
+           k::kStateTimeoutMs},
+          static_cast<int>(c->writes.size()),
+          c->urgent ? 0 : 1,
+          0,
+          [this, c, tries, doubt](HttpReply r) {
+            if (r.status == 200) {
+              auto ledger = codec::parse_number(r.body, "ledger").value_or(0);
+              apply_commit(*c, ledger);
+              c->done(Outcome::ok, ledger);
+            } else if (r.status == 409) {
+              // Invariant 8: an earlier try of ours may be what the guards met.
+              if (doubt)
+                read_back(c, tries);
+              else
+                c->done(Outcome::conflict, 0);
+            } else if (in_doubt(r.status) || doubt) {
+              if (tries <= 1) {
+                c->done(Outcome::unknown, 0);
+                return;
+              }
+              rt_.after(k::kRetryMs,
+                        [this, c, tries] { try_commit(c, tries - 1, true); });
+            } else {
+              c->done(Outcome::refused, 0);
+            }
+          }});
+}
+
+// The guards failed after a try without answer: whose write is it that stands there?
+void Registrar::read_back(std::shared_ptr<Commit> c, int tries) {
+  read(c->writes.front().key, [this, c, tries](std::optional<codec::StateRow> row) {
+    if (row) {
+      if (row->stamp != 0 && row->nonce == c->nonce) {
+        apply_commit(*c, row->stamp);
+        c->done(Outcome::ok, row->stamp);
+      } else {
+        c->done(Outcome::conflict, 0);
+      }
+      return;
+    }
+    if (tries <= 1) {
+      c->done(Outcome::unknown, 0);
+      return;
+    }
+    rt_.after(k::kRetryMs, [this, c, tries] { read_back(c, tries - 1); });
+  });
+}
+
+void Registrar::read(const std::string& key,
+                     std::function<void(std::optional<codec::StateRow>)> done) {
+  submit({{"", "GET", "/kv/" + key, "", k::kStateTimeoutMs}, 0, 1, 0,
+          [key, done = std::move(done)](HttpReply r) {
+            if (r.status == 404) {
+              codec::StateRow none;
+              none.key = key;
+              done(none);
+            } else {
+              done(r.status == 200 ? codec::parse_row(r.body) : std::nullopt);
+            }
+          }});
+}
+
+void Registrar::list(const std::string& prefix,
+                     std::function<void(std::optional<std::vector<codec::StateRow>>)> done) {
+  list_from(prefix, "", std::make_shared<std::vector<codec::StateRow>>(), std::move(done));
+}
+
+void Registrar::list_from(const std::string& prefix, const std::string& since,
+                          std::shared_ptr<std::vector<codec::StateRow>> rows,
+                          std::function<void(std::optional<std::vector<codec::StateRow>>)> done) {
+  std::string path = "/kv?prefix=" + prefix + "&page=" + std::to_string(k::kListPage);
+  if (!since.empty()) path += "&since=" + since;
+  submit({{"", "GET", path, "", k::kStateTimeoutMs * 2}, 0, 0, 0,
+          [this, prefix, rows, done = std::move(done)](HttpReply r) {
+            auto page = r.status == 200 ? codec::parse_list(r.body) : std::nullopt;
+            if (!page) {
+              done(std::nullopt);
+              return;
+            }
+            rows->insert(rows->end(), page->rows.begin(), page->rows.end());
+            if (page->more && !page->rows.empty())
+              list_from(prefix, page->rows.back().key, rows, done);
+            else
+              done(std::move(*rows));
+          }});
+}
+
+}  // namespace eiderreel
--- /dev/null
+++ b/src/actors/registrar.h
@@ -0,0 +1,142 @@
+// The registrar: all dealings with the state service. It owns this node's grant, the view that
+// follows every key under `e/`, and the node's part of the request and write budgets.
+#pragma once
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "actors/runtime.h"
+#include "actors/settings.h"
+#include "codec/json.h"
+
+namespace eiderreel {
+
+// What the followed keys say. Read by the other actors, changed by the registrar alone.
+struct View {
+  struct PartEntry {
+    std::string owner;
+    std::uint64_t stamp = 0;
+  };
+  struct MachineEntry {
+    codec::MachineRecord record;
+    std::uint64_t stamp = 0;
+  };
+  struct NodeEntry {
+    codec::NodeRecord record;
+    std::uint64_t stamp = 0;
+    Ms seen = 0;
+  };
+  struct JobEntry {
+    JobSpec spec;
+    std::uint64_t stamp = 0;
+  };
+  bool ready = false;
+  std::uint64_t ledger = 0;  // all changes up to here are in
+  std::map<int, PartEntry> parts;
+  std::map<std::string, MachineEntry> machines;
+  std::map<std::string, NodeEntry> nodes;
+  std::unordered_map<std::string, JobEntry> jobs;
+  // Final phases, the most recent ones; a missing one is read, never taken for unknown.
+  std::unordered_map<std::string, JobPhase> finals;
+};
+
+enum class Outcome {
+  ok,        // it is durable
+  conflict,  // a guard failed: nothing was done
+  refused,   // nothing was done
+  unknown,   // it may have been done, or may still be
+};
+
+struct Commit {
+  std::vector<codec::Guard> guards;
+  std::vector<codec::Write> writes;  // the first one puts a value with the nonce of this commit
+  std::string nonce;
+  bool urgent = false;
+  std::function<void(Outcome, std::uint64_t ledger)> done;
+};
+
+class Registrar {
+ public:
+  struct Events {
+    std::function<void(const std::string& id)> job_opened, job_closed, machine_changed;
+    std::function<void(int part)> part_changed;
+    std::function<void()> grant_lost;
+  };
+  struct Counters {
+    std::map<int, std::uint64_t> replies;  // by status, 0: none
+    std::uint64_t refused_here = 0;        // over our own budget
+  };
+
+  Registrar(Runtime& rt, const Settings& s);
+  void start(Events events);
+  void tick();
+
+  const View& view() const { return view_; }
+  std::uint64_t grant() const { return grant_; }
+  // Invariant 6: counted from the sending of the last good extend, less drift.
+  bool grant_alive() const { return grant_ != 0 && rt_.now() < alive_until_; }
+  Ms alive_until() const { return grant_ ? alive_until_ : 0; }
+  Ms last_good() const { return last_good_; }
+  // A claim may still land although nobody answered it; then no pledge may be given.
+  std::string nonce();
+
+  void commit(Commit c);
+  // Linearizable read. `row.stamp` 0: the key does not exist. Fails with nullopt.
+  void read(const std::string& key, std::function<void(std::optional<codec::StateRow>)> done);
+  void list(const std::string& prefix,
+            std::function<void(std::optional<std::vector<codec::StateRow>>)> done);
+  // Calls back once the view has all changes up to `ledger`.
+  void when_seen(std::uint64_t ledger, std::function<void()> done);
+  void remember_final(const std::string& id, JobPhase p);
+  const Counters& counters() const { return counters_; }
+  std::size_t pending() const { return queue_.size(); }
+
+ private:
+  struct Pending {
+    HttpRequest request;
+    int writes = 0;
+    int priority = 1;  // 0 first
+    Ms expires = 0;
+    std::function<void(HttpReply)> done;
+  };
+  void submit(Pending p);
+  void pump();
+  void get_grant();
+  void extend();
+  void begin_follow();
+  void load(std::size_t prefix, std::string since);
+  void follow(Ms wait);
+  void apply(const codec::StateRow& row, bool announce);
+  void apply_commit(const Commit& c, std::uint64_t ledger);
+  void try_commit(std::shared_ptr<Commit> c, int tries, bool doubt);
+  void read_back(std::shared_ptr<Commit> c, int tries);
+  void list_from(const std::string& prefix, const std::string& since,
+                 std::shared_ptr<std::vector<codec::StateRow>> rows,
+                 std::function<void(std::optional<std::vector<codec::StateRow>>)> done);
+  void announce_seen();
+
+  Runtime& rt_;
+  const Settings& s_;
+  Events events_;
+  View view_;
+  std::list<std::string> final_order_;
+  std::uint64_t grant_ = 0;
+  Ms alive_until_ = 0, last_extend_ = 0, last_good_ = 0;
+  bool granting_ = false, extending_ = false, node_written_ = false, writing_node_ = false;
+  std::uint64_t follow_since_ = 0;
+  std::set<std::string> loaded_;  // keys met while listing anew
+  std::deque<Pending> queue_;
+  double tokens_, write_tokens_, rate_, write_rate_;
+  Ms refilled_ = 0;
+  int in_flight_ = 0;
+  std::uint64_t nonce_counter_ = 0;
+  std::multimap<std::uint64_t, std::function<void()>> waiting_;
+  Counters counters_;
+};
+
+}  // namespace eiderreel
--- /dev/null
+++ b/src/actors/settings.cc
@@ -0,0 +1,178 @@
+#include "actors/settings.h"
+
+#define TOML_EXCEPTIONS 0
+#include <toml++/toml.h>
+
+namespace eiderreel {
+namespace {
+
+// Reads fields and notes every problem as "FILE: FIELD: what is wrong".
+class Reader {
+ public:
+  Reader(std::string file, std::vector<std::string>& problems)
+      : file_(std::move(file)), problems_(problems) {}
+
+  void problem(const std::string& field, const std::string& what) {
+    problems_.push_back(file_ + ": " + field + ": " + what);
+  }
+
+  const toml::table* table(const toml::table& t, const std::string& path, const char* name) {
+    const auto* n = t.get(name);
+    if (!n || !n->is_table()) {
+      problem(path + name, n ? "must be a table" : "is missing");
+      return nullptr;
+    }
+    return n->as_table();
+  }
+
+  void text(const toml::table& t, const std::string& path, const char* name, std::string& out) {
+    const auto* n = t.get(name);
+    if (!n) return problem(path + name, "is missing");
+    if (!n->is_string() || n->as_string()->get().empty())
+      return problem(path + name, "must be a text");
+    out = n->as_string()->get();
+  }
+
+  void address(const toml::table& t, const std::string& path, const char* name, std::string& out) {
+    text(t, path, name, out);
+    if (out.empty()) return;
+    const auto colon = out.rfind(':');
+    const bool port = colon != std::string::npos && colon > 0 && out.size() - colon - 1 >= 1 &&
+                      out.size() - colon - 1 <= 5 &&
+                      std::all_of(out.begin() + static_cast<long>(colon) + 1, out.end(),
+                                  [](char c) { return c >= '0' && c <= '9'; });
+    if (!port || std::stoi(out.substr(colon + 1)) > 65535 || std::stoi(out.substr(colon + 1)) == 0)
+      problem(path + name, "must be IP:PORT");
+  }
+
+  void number(const toml::table& t, const std::string& path, const char* name, double low,
+              double high, double& out) {
+    const auto* n = t.get(name);
+    if (!n) return problem(path + name, "is missing");
+    if (!n->is_number()) return problem(path + name, "must be a number");
+    const double v = n->value<double>().value_or(0);
+    if (!(v >= low && v <= high))
+      return problem(path + name, "must be between " + show(low) + " and " + show(high));
+    out = v;
+  }
+
+  void whole(const toml::table& t, const std::string& path, const char* name, int low, int high,
+             int& out) {
+    const auto* n = t.get(name);
+    if (n && !n->is_integer()) return problem(path + name, "must be a whole number");
+    double v = out;
+    number(t, path, name, low, high, v);
+    out = static_cast<int>(v);
+  }
+
+ private:
+  static std::string show(double v) {
+    std::string s = std::to_string(v);
+    s.erase(s.find_last_not_of('0') + 1);
+    if (s.back() == '.') s.pop_back();
+    return s;
+  }
+  std::string file_;
+  std::vector<std::string>& problems_;
+};
+
+}  // namespace
+
+SettingsResult load_settings(const std::string& file) {
+  SettingsResult result;
+  Settings& s = result.settings;
+  Reader r(file, result.problems);
+  toml::parse_result parsed = toml::parse_file(file);
+  if (!parsed) {
+    r.problem("line " + std::to_string(parsed.error().source().begin.line),
+              std::string(parsed.error().description()));
+    return result;
+  }
+  const toml::table& t = parsed.table();
+  r.text(t, "", "node_name", s.node);
+  r.text(t, "", "area", s.zone);
+  r.address(t, "", "api_addr", s.api_addr);
+  r.address(t, "", "mesh_addr", s.mesh_addr);
+  if (const auto* known = t.get("known")) {
+    if (!known->is_array()) {
+      r.problem("known", "must be a list of tables");
+    } else {
+      for (std::size_t i = 0; i < known->as_array()->size(); ++i) {
+        const std::string path = "known[" + std::to_string(i) + "].";
+        const auto* e = known->as_array()->get(i)->as_table();
+        if (!e) {
+          r.problem(path, "must be a table");
+          continue;
+        }
+        Peer p;
+        r.text(*e, path, "node_name", p.name);
+        r.text(*e, path, "area", p.zone);
+        r.address(*e, path, "endpoint", p.mesh_addr);
+        if (!p.name.empty() && p.name == s.node)
+          r.problem(path + "node_name", "is our own name");
+        s.peers.push_back(p);
+      }
+    }
+  }
+  if (const auto* out = r.table(t, "", "outside")) {
+    r.address(*out, "outside.", "cloud", s.cloud_addr);
+    r.address(*out, "outside.", "state", s.state_addr);
+  }
+  const auto* p = r.table(t, "", "params");
+  if (!p) return result;
+  r.whole(*p, "params.", "size", 1, 1000, s.parts);
+  r.number(*p, "params.", "skew_ms", 0, 60000, s.skew_ms);
+  if (const auto* zones = p->get("zones"); zones && zones->is_array()) {
+    for (const auto& z : *zones->as_array())
+      if (z.is_string()) s.zones.push_back(z.as_string()->get());
+  }
+  const auto* teams = p->get("teams");
+  if (!teams || !teams->is_array() || teams->as_array()->empty()) {
+    r.problem("params.teams", teams ? "must be a list of tables" : "is missing");
+  } else {
+    for (std::size_t i = 0; i < teams->as_array()->size(); ++i) {
+      const std::string path = "params.teams[" + std::to_string(i) + "].";
+      const auto* e = teams->as_array()->get(i)->as_table();
+      if (!e) {
+        r.problem(path, "must be a table");
+        continue;
+      }
+      Team team;
+      r.text(*e, path, "name", team.name);
+      r.number(*e, path, "cpus", 0, 1e7, team.cpus);
+      r.number(*e, path, "cpus_max", 0, 1e7, team.cpus_max);
+      r.number(*e, path, "gpus", 0, 1e7, team.gpus);
+      r.number(*e, path, "gpus_max", 0, 1e7, team.gpus_max);
+      if (team.cpus > team.cpus_max) r.problem(path + "cpus", "is above the team's cpus_max");
+      if (team.gpus > team.gpus_max) r.problem(path + "gpus", "is above the team's gpus_max");
+      for (const auto& other : s.teams)
+        if (other.name == team.name) r.problem(path + "name", "is there twice");
+      s.teams.push_back(team);
+    }
+  }
+  if (const auto* w = r.table(*p, "params.", "workers")) {
+    r.number(*w, "params.workers.", "report_s", 0.1, 3600, s.report_s);
+    r.number(*w, "params.workers.", "lease_s", 0.5, 36000, s.lease_s);
+    r.number(*w, "params.workers.", "cancel_s", 0.5, 36000, s.cancel_s);
+    if (s.lease_s <= s.report_s)
+      r.problem("params.workers.lease_s", "must be above params.workers.report_s");
+  }
+  if (const auto* st = r.table(*p, "params.", "state")) {
+    r.number(*st, "params.state.", "rps", 1, 1e6, s.state_rps);
+    r.number(*st, "params.state.", "write_rps", 1, 1e6, s.state_write_rps);
+    r.number(*st, "params.state.", "value_kb", 6, 1e6, s.state_value_kb);
+    r.whole(*st, "params.state.", "txn_ops", 6, 100000, s.state_txn_ops);
+  }
+  if (const auto* c = r.table(*p, "params.", "cloud")) {
+    r.number(*c, "params.cloud.", "rps", 0.1, 1e6, s.cloud_rps);
+    r.number(*c, "params.cloud.", "list_lag_s", 0, 3600, s.list_lag_s);
+  }
+  if (const auto* q = r.table(*p, "params.", "quota")) {
+    r.number(*q, "params.quota.", "core_share", 0.001, 1024, s.core_share);
+    r.number(*q, "params.quota.", "memory_mb", 16, 1e7, s.memory_mb);
+    r.whole(*q, "params.quota.", "max_sockets", 16, 10000000, s.max_sockets);
+  }
+  return result;
+}
+
+}  // namespace eiderreel
--- /dev/null
+++ b/src/actors/settings.h
@@ -0,0 +1,60 @@
+// The platform's settings file and the operators' own, as values.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "core/types.h"
+
+namespace eiderreel {
+
+struct Peer {
+  std::string name, zone, mesh_addr;
+};
+
+struct Settings {
+  std::string node, zone, api_addr, mesh_addr;
+  std::vector<Peer> peers;
+  std::string cloud_addr, state_addr;
+  int parts = 1;
+  std::vector<std::string> zones;
+  double skew_ms = 0;
+  std::vector<Team> teams;
+  double report_s = 1, lease_s = 10, cancel_s = 40;
+  double state_rps = 50, state_write_rps = 20, state_value_kb = 8;
+  int state_txn_ops = 16;
+  double cloud_rps = 4, list_lag_s = 5;
+  double core_share = 1, memory_mb = 64;
+  int max_sockets = 1000;
+
+  std::vector<std::string> node_names() const {  // sorted; the same on every node
+    std::vector<std::string> n{node};
+    for (const auto& p : peers) n.push_back(p.name);
+    std::sort(n.begin(), n.end());
+    return n;
+  }
+  // The part that a team is in: teams are dealt out in the order of the settings.
+  int part_of_team(const std::string& team) const {
+    for (std::size_t i = 0; i < teams.size(); ++i)
+      if (teams[i].name == team) return static_cast<int>(i % static_cast<std::size_t>(parts));
+    return -1;
+  }
+  std::vector<Team> teams_of(int part) const {
+    std::vector<Team> out;
+    for (const auto& t : teams)
+      if (part_of_team(t.name) == part) out.push_back(t);
+    return out;
+  }
+  std::string home_of(int part) const {
+    auto n = node_names();
+    return n[static_cast<std::size_t>(part) % n.size()];
+  }
+};
+
+// Reads a settings file; every problem becomes one line "FILE: FIELD: what is wrong".
+struct SettingsResult {
+  Settings settings;
+  std::vector<std::string> problems;
+};
+SettingsResult load_settings(const std::string& file);
+
+}  // namespace eiderreel
--- /dev/null
+++ b/src/cli/main.cc
@@ -0,0 +1,91 @@
+// The command line. One subcommand each for what an operator does; the daemon is `serve`.
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include "actors/node.h"
+#include "actors/settings.h"
+#include "net/loop.h"
+
+namespace {
+
+using namespace eiderreel;
+
+constexpr int kExitSettings = 2;
+constexpr int kExitFailed = 1;
+
+void set_up_log(const std::string& node) {
+  auto logger = spdlog::stderr_logger_st(node);
+  logger->set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %l %n %v", spdlog::pattern_time_type::utc);
+  const char* level = std::getenv("LOG_LEVEL");
+  const std::string name = level ? level : "info";
+  logger->set_level(name == "debug"   ? spdlog::level::debug
+                    : name == "error" ? spdlog::level::err
+                                      : spdlog::level::info);
+  spdlog::set_default_logger(logger);
+}
+
+bool load(const std::string& file, Settings& out) {
+  auto result = load_settings(file);
+  for (const auto& p : result.problems) std::cerr << p << "\n";
+  out = result.settings;
+  return result.problems.empty();
+}
+
+int check(const std::string& file) {
+  Settings s;
+  if (!load(file, s)) return kExitSettings;
+  std::cout << file << ": good; node " << s.node << ", " << s.peers.size() << " peers, "
+            << s.teams.size() << " teams in " << s.parts << " parts\n";
+  return 0;
+}
+
+int serve(const std::string& file) {
+  Settings s;
+  if (!load(file, s)) return kExitSettings;
+  set_up_log(s.node);
+  std::signal(SIGPIPE, SIG_IGN);
+  net::Loop loop(s);
+  Node node(loop, s);
+  std::string error;
+  const bool listening = loop.listen(
+      [&](const std::string& method, const std::string& path, const std::string& body,
+          Reply reply) { node.request(method, path, body, std::move(reply)); },
+      [&](const std::string& bytes) { node.frame(bytes); }, error);
+  if (!listening) {
+    spdlog::error("start failed node={} reason=\"{}\"", s.node, error);
+    return kExitFailed;
+  }
+  spdlog::info("start node={} api={} mesh={} boot={}", s.node, s.api_addr, s.mesh_addr,
+               loop.boot_id());
+  node.start();
+  loop.every(constants::kTickMs, [&] { node.tick(); });
+  loop.run();
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"eiderreel, a cluster scheduler: tasks wait in team queues and are bound to a "
+               "machine when its report shows free room."};
+  app.set_version_flag("--version", std::string("eiderreel ") + EIDERREEL_VERSION);
+  app.require_subcommand(1);
+  std::string config;
+  auto* serve_cmd = app.add_subcommand("serve", "run a controller until it is killed");
+  serve_cmd->add_option("--config", config, "the platform's settings file (TOML)")->required();
+  auto* check_cmd = app.add_subcommand("check", "check a settings file and say what is wrong");
+  check_cmd->add_option("--config", config, "the platform's settings file (TOML)")->required();
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    const int code = app.exit(e);
+    return code == 0 ? 0 : kExitSettings;
+  }
+  if (*check_cmd) return check(config);
+  return serve(config);
+}
--- /dev/null
+++ b/src/codec/json.h
@@ -0,0 +1,125 @@
+// JSON in and out: the only place that knows the names on the wire.
+#pragma once
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/types.h"
+
+namespace eiderreel::codec {
+
+// --- users ---
+struct ParsedJob {
+  std::optional<JobSpec> spec;
+  std::string error;  // why there is none
+};
+ParsedJob parse_job(const std::string& body);
+bool valid_job_id(const std::string& id);
+std::string job_answer(const std::string& id, JobPhase phase);
+std::string job_status(const std::string& id, const JobStatus& s);
+std::string error_body(const std::string& text);
+const char* phase_name(JobPhase p);
+
+// --- workers ---
+std::optional<Report> parse_report(const std::string& body);
+std::string report_answer(std::uint64_t term, const std::vector<Order>& orders);
+std::string commands_body(std::uint64_t term, std::uint64_t tenure,
+                          const std::vector<Order>& orders);
+std::string upstream_body(const std::string& node);
+
+// --- cloud ---
+struct ListedMachine {
+  std::string id, addr, type, zone, phase;
+  bool spot = false;
+  double held_s = 0;
+};
+struct MachineList {
+  std::vector<ListedMachine> machines;
+  bool more = false;
+};
+std::optional<std::vector<MachineType>> parse_catalog(const std::string& body);
+std::optional<MachineList> parse_machines(const std::string& body);
+std::optional<std::vector<std::string>> parse_rented(const std::string& body);
+std::string rent_body(const std::string& charter, const std::string& type, const std::string& zone,
+                      bool spot, int count);
+std::string return_body(const std::vector<std::string>& machines);
+
+// --- state service ---
+// The records we keep there. `nonce` tells our own write apart when an answer is missing.
+struct PartRecord {
+  std::string owner;
+  std::uint64_t grant = 0;
+};
+struct MachineRecord {
+  int part = -1;  // -1: released, to be returned
+  std::string type, zone, addr;
+  bool spot = false;
+};
+struct NodeRecord {
+  std::string boot;
+  std::uint64_t grant = 0;
+};
+struct DoneRecord {
+  std::vector<std::uint32_t> tasks;
+};
+std::string encode(const PartRecord& r, const std::string& nonce);
+std::string encode(const MachineRecord& r, const std::string& nonce);
+std::string encode(const NodeRecord& r, const std::string& nonce);
+std::string encode(const JobSpec& r, const std::string& nonce);
+std::string encode_final(JobPhase p, const std::string& nonce);
+std::string encode_done(const std::vector<std::uint32_t>& tasks, std::uint32_t chunk,
+                        const std::string& nonce);
+
+struct StateRow {
+  std::string key;
+  bool deleted = false;
+  std::uint64_t stamp = 0;
+  std::string nonce;
+  // what the value holds, by its key
+  std::optional<PartRecord> part;
+  std::optional<MachineRecord> machine;
+  std::optional<NodeRecord> node;
+  std::optional<JobSpec> job;
+  std::optional<JobPhase> final_phase;
+  std::optional<DoneRecord> done;
+};
+struct StateList {
+  std::vector<StateRow> rows;
+  std::uint64_t ledger = 0;
+  bool more = false;
+};
+std::optional<StateList> parse_list(const std::string& body);
+std::optional<StateList> parse_events(const std::string& body);
+std::optional<StateRow> parse_row(const std::string& body);
+// A key's row as the state service would show it, for a commit of our own.
+std::string stored_row(const std::string& key, const std::string& value, std::uint64_t stamp);
+std::optional<std::uint64_t> parse_number(const std::string& body, const char* field);
+
+struct Write {
+  std::string key;
+  std::string value;  // JSON; empty: delete
+  bool tethered = false;
+};
+struct Guard {
+  std::string key;
+  std::uint64_t stamp = 0;
+};
+std::string commit_body(const std::vector<Guard>& guards, const std::vector<Write>& writes,
+                        std::uint64_t grant);
+std::string grant_body(Ms life);
+
+// Keys. All under `e/` is followed by every node; `d/` (done tasks) is read at take-over only.
+std::string part_key(int part);
+std::string machine_key(const std::string& id);
+std::string node_key(const std::string& name);
+std::string job_key(const std::string& id);
+std::string final_key(const std::string& id);
+std::string done_prefix(int part);
+std::string done_key(int part, const std::string& id, std::uint32_t chunk);
+// The last segment of a key, and for done keys the job's id.
+std::string key_name(const std::string& key);
+std::string done_key_job(const std::string& key);
+
+}  // namespace eiderreel::codec
--- /dev/null
+++ b/src/codec/mesh.capnp
@@ -0,0 +1,67 @@
+@0xb5d3f0a87c1e42d9;
+# What the nodes of the service say to each other. One message a frame; a frame is its length in
+# four bytes, little-endian, and the flat message.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("eiderreel::wire");
+
+struct Envelope {
+  from @0 :Text;
+  union {
+    hello @1 :Void;
+    ask @2 :Ask;
+    answer @3 :Answer;
+    status @4 :Status;
+    move @5 :Move;
+    unassigned @6 :Unassigned;
+    pledgeAsk @7 :PledgeAsk;
+    pledge @8 :Pledge;
+    gone @9 :Unassigned;
+  }
+}
+
+struct Ask {                      # a user's request, passed on to the owner of its part
+  number @0 :UInt64;
+  cancel @1 :Bool;                # else a poll
+  job @2 :Text;
+}
+
+struct Answer {
+  number @0 :UInt64;
+  status @1 :UInt16;              # 0: the asked node is not entitled to answer
+  body @2 :Text;
+}
+
+struct Status {                   # news of load for the leader
+  parts @0 :List(Need);
+}
+
+struct Need {
+  part @0 :UInt16;
+  waitingCpus @1 :Float64;
+  waitingSpotCpus @2 :Float64;
+  waitingServiceCpus @3 :Float64;
+  usedCpus @4 :Float64;
+  usedServiceCpus @5 :Float64;
+  totalCpus @6 :Float64;
+  idle @7 :List(Text);
+}
+
+struct Move {                     # the leader's advice: give this idle machine to that part
+  machine @0 :Text;
+  part @1 :Int16;                 # -1: release it, to be returned
+}
+
+struct Unassigned {               # machines
+  machines @0 :List(Text);
+}
+
+struct PledgeAsk {
+  number @0 :UInt64;
+  lifeMs @1 :Int64;
+}
+
+struct Pledge {
+  number @0 :UInt64;
+  given @1 :Bool;
+}
--- /dev/null
+++ b/src/codec/mesh.cc
@@ -0,0 +1,157 @@
+#include "codec/mesh.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+#include <cstring>
+
+#include "mesh.capnp.h"
+
+namespace eiderreel::mesh {
+namespace {
+
+template <class Builder>
+void put_names(Builder list, const std::vector<std::string>& names) {
+  for (std::size_t i = 0; i < names.size(); ++i) list.set(static_cast<unsigned>(i), names[i]);
+}
+
+std::vector<std::string> names(capnp::List<capnp::Text>::Reader list) {
+  std::vector<std::string> out;
+  for (auto n : list) out.emplace_back(n.cStr(), n.size());
+  return out;
+}
+
+struct Encoder {
+  wire::Envelope::Builder e;
+  void operator()(const Hello&) { e.setHello(); }
+  void operator()(const Ask& m) {
+    auto b = e.initAsk();
+    b.setNumber(m.number);
+    b.setCancel(m.cancel);
+    b.setJob(m.job);
+  }
+  void operator()(const Answer& m) {
+    auto b = e.initAnswer();
+    b.setNumber(m.number);
+    b.setStatus(static_cast<std::uint16_t>(m.status));
+    b.setBody(m.body);
+  }
+  void operator()(const Status& m) {
+    auto list = e.initStatus().initParts(static_cast<unsigned>(m.parts.size()));
+    for (unsigned i = 0; i < m.parts.size(); ++i) {
+      const auto& [part, n] = m.parts[i];
+      auto b = list[i];
+      b.setPart(static_cast<std::uint16_t>(part));
+      b.setWaitingCpus(n.waiting_cpus);
+      b.setWaitingSpotCpus(n.waiting_spot_cpus);
+      b.setWaitingServiceCpus(n.waiting_service_cpus);
+      b.setUsedCpus(n.used_cpus);
+      b.setUsedServiceCpus(n.used_service_cpus);
+      b.setTotalCpus(n.total_cpus);
+      put_names(b.initIdle(static_cast<unsigned>(n.idle.size())), n.idle);
+    }
+  }
+  void operator()(const Move& m) {
+    auto b = e.initMove();
+    b.setMachine(m.machine);
+    b.setPart(static_cast<std::int16_t>(m.part));
+  }
+  void operator()(const Unassigned& m) {
+    put_names(e.initUnassigned().initMachines(static_cast<unsigned>(m.machines.size())),
+              m.machines);
+  }
+  void operator()(const Gone& m) {
+    put_names(e.initGone().initMachines(static_cast<unsigned>(m.machines.size())), m.machines);
+  }
+  void operator()(const PledgeAsk& m) {
+    auto b = e.initPledgeAsk();
+    b.setNumber(m.number);
+    b.setLifeMs(m.life);
+  }
+  void operator()(const Pledge& m) {
+    auto b = e.initPledge();
+    b.setNumber(m.number);
+    b.setGiven(m.given);
+  }
+};
+
+Status read_status(wire::Status::Reader r) {
+  Status s;
+  for (auto b : r.getParts()) {
+    PartNeed n;
+    n.waiting_cpus = b.getWaitingCpus();
+    n.waiting_spot_cpus = b.getWaitingSpotCpus();
+    n.waiting_service_cpus = b.getWaitingServiceCpus();
+    n.used_cpus = b.getUsedCpus();
+    n.used_service_cpus = b.getUsedServiceCpus();
+    n.total_cpus = b.getTotalCpus();
+    n.idle = names(b.getIdle());
+    s.parts.emplace_back(b.getPart(), std::move(n));
+  }
+  return s;
+}
+
+Message read(wire::Envelope::Reader e) {
+  Message m;
+  m.from = e.getFrom().cStr();
+  switch (e.which()) {
+    case wire::Envelope::HELLO:
+      m.body = Hello{};
+      break;
+    case wire::Envelope::ASK:
+      m.body = Ask{e.getAsk().getNumber(), e.getAsk().getCancel(), e.getAsk().getJob().cStr()};
+      break;
+    case wire::Envelope::ANSWER:
+      m.body = Answer{e.getAnswer().getNumber(), e.getAnswer().getStatus(),
+                      e.getAnswer().getBody().cStr()};
+      break;
+    case wire::Envelope::STATUS:
+      m.body = read_status(e.getStatus());
+      break;
+    case wire::Envelope::MOVE:
+      m.body = Move{e.getMove().getMachine().cStr(), e.getMove().getPart()};
+      break;
+    case wire::Envelope::UNASSIGNED:
+      m.body = Unassigned{names(e.getUnassigned().getMachines())};
+      break;
+    case wire::Envelope::GONE:
+      m.body = Gone{names(e.getGone().getMachines())};
+      break;
+    case wire::Envelope::PLEDGE_ASK:
+      m.body = PledgeAsk{e.getPledgeAsk().getNumber(), e.getPledgeAsk().getLifeMs()};
+      break;
+    case wire::Envelope::PLEDGE:
+      m.body = Pledge{e.getPledge().getNumber(), e.getPledge().getGiven()};
+      break;
+  }
+  return m;
+}
+
+}  // namespace
+
+std::string encode(const Message& m) {
+  capnp::MallocMessageBuilder builder;
+  auto e = builder.initRoot<wire::Envelope>();
+  e.setFrom(m.from);
+  std::visit(Encoder{e}, m.body);
+  auto words = capnp::messageToFlatArray(builder);
+  auto bytes = words.asBytes();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+std::optional<Message> decode(const std::string& bytes) {
+  if (bytes.empty() || bytes.size() % sizeof(capnp::word) != 0) return std::nullopt;
+  auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
+  std::memcpy(words.begin(), bytes.data(), bytes.size());
+  std::optional<Message> out;
+  // A malformed frame is met by kj's own guard against bad input, not by a crash.
+  auto bad = kj::runCatchingExceptions([&] {
+    capnp::FlatArrayMessageReader reader(words);
+    out = read(reader.getRoot<wire::Envelope>());
+  });
+  if (bad != nullptr) return std::nullopt;
+  return out;
+}
+
+}  // namespace eiderreel::mesh
--- /dev/null
+++ b/src/codec/mesh.h
@@ -0,0 +1,55 @@
+// Messages between nodes, as values; their form on the wire is Cap'n Proto (mesh.capnp).
+#pragma once
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/part.h"
+
+namespace eiderreel::mesh {
+
+struct Hello {};
+struct Ask {
+  std::uint64_t number = 0;
+  bool cancel = false;
+  std::string job;
+};
+struct Answer {
+  std::uint64_t number = 0;
+  int status = 0;
+  std::string body;
+};
+struct Status {
+  std::vector<std::pair<int, PartNeed>> parts;
+};
+struct Move {
+  std::string machine;
+  int part = -1;
+};
+struct Unassigned {
+  std::vector<std::string> machines;
+};
+struct Gone {  // machines that the cloud has said to be gone
+  std::vector<std::string> machines;
+};
+struct PledgeAsk {
+  std::uint64_t number = 0;
+  Ms life = 0;
+};
+struct Pledge {
+  std::uint64_t number = 0;
+  bool given = false;
+};
+
+using Body =
+    std::variant<Hello, Ask, Answer, Status, Move, Unassigned, PledgeAsk, Pledge, Gone>;
+struct Message {
+  std::string from;
+  Body body;
+};
+
+std::string encode(const Message& m);  // without the frame's length
+std::optional<Message> decode(const std::string& bytes);
+
+}  // namespace eiderreel::mesh
--- /dev/null
+++ b/src/core/part.h
@@ -0,0 +1,188 @@
+// One part as its owner sees it: the jobs of its teams, its machines, and what runs where.
+// Pure: no I/O and no clock. Every call takes the time; what is to be done comes back as values.
+//
+// Promise: a task is bound to at most one machine, and leaves it only with proof that it is gone.
+#pragma once
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/types.h"
+
+namespace eiderreel {
+
+struct PartLimits {
+  Ms lease_ms = 10000;
+  Ms report_ms = 1000;
+};
+
+enum class Verdict {
+  ok,     // answer with `orders`
+  stale,  // an older message, or one above our term: answer 503, learn nothing
+};
+
+struct Answer {
+  Verdict verdict = Verdict::ok;
+  std::uint64_t term = 0;
+  std::vector<Order> orders;
+};
+
+// What the part lacks and what it has to spare, told to the leader.
+struct PartNeed {
+  double waiting_cpus = 0;       // of tasks that could start now but for room
+  double waiting_spot_cpus = 0;  // that part of it that may use spot machines
+  double waiting_service_cpus = 0;
+  double used_cpus = 0, used_service_cpus = 0;
+  double total_cpus = 0;
+  std::vector<std::string> idle;  // machines that hold nothing
+};
+
+class Part {
+ public:
+  Part(int index, std::uint64_t term, Ms claimed_at, PartLimits limits, std::vector<Team> teams);
+
+  // --- machines ---
+  // `fresh`: assigned after our claim, so nobody else can have tasks on it.
+  void add_machine(const std::string& id, std::uint64_t stamp, bool fresh, Ms now);
+  void remove_machine(const std::string& id, Ms now);  // with proof that all on it is gone
+  bool has_machine(const std::string& id) const { return machines_.count(id) > 0; }
+  std::uint64_t term_of(const std::string& id) const;
+  void set_types(const std::vector<MachineType>& types);
+  // Marks an idle machine as on its way out; false when it is not idle.
+  bool begin_leave(const std::string& id);
+  void end_leave(const std::string& id);
+  bool idle(const std::string& id) const;
+
+  // --- jobs ---
+  // `done`: indexes recorded as done. `older`: accepted before our claim, so its tasks may run
+  // on any machine we have not heard of yet.
+  void open_job(const JobSpec& spec, std::uint64_t stamp, bool older,
+                const std::vector<std::uint32_t>& done);
+  bool has_job(const std::string& id) const { return jobs_.count(id) > 0; }
+  std::optional<JobStatus> status(const std::string& id) const;
+  std::uint64_t job_stamp(const std::string& id) const;
+  void hold_job(const std::string& id);     // a final commit is on its way: start nothing
+  void release_job(const std::string& id);  // it surely was not done
+  bool held(const std::string& id) const;
+  void close_job(const std::string& id);  // final: what still runs is killed as it is reported
+  // Tasks that ended well and are not recorded yet; `mark_recorded` allows their `clear`.
+  std::vector<std::uint32_t> unrecorded(const std::string& id) const;
+  void mark_recorded(const std::string& id, const std::vector<std::uint32_t>& tasks);
+  std::vector<std::string> jobs_to_record() const;  // also the complete ones, not final yet
+  std::vector<std::uint32_t> done_in_chunk(const std::string& id, std::uint32_t chunk) const;
+  bool complete(const std::string& id) const;
+  std::uint32_t task_count(const std::string& id) const;
+
+  // --- events ---
+  // Takes in a report. The answer has the kills and clears; starts come from `place`.
+  Answer on_report(const Report& r, Ms now);
+  // Starts for this machine alone, to be put into the answer to its newest report.
+  std::vector<Order> place(const std::string& machine, Ms now);
+  // An answer with status 200 was handed to the network now.
+  void answered(const std::string& machine, Ms now);
+  // Declares machines silent beyond their lease as gone; returns their names.
+  std::vector<std::string> tick(Ms now);
+  // The cloud's 200 on return, or a failed machine: all on it is gone.
+  void machine_gone(const std::string& id, Ms now);
+
+  // Whether a report of this machine may wait for work, and how long.
+  Ms park_ms(const std::string& machine) const;
+  bool has_waiting() const;
+  // Tasks to kill by /commands: (machine address, tenure, term, orders).
+  struct Kill {
+    std::string machine, addr;
+    std::uint64_t tenure, term;
+    std::vector<Order> orders;
+  };
+  std::vector<Kill> take_kills();
+  // Machines that have not seen our term yet: address and last known tenure.
+  PartNeed need(Ms now) const;
+  int index() const { return index_; }
+  std::uint64_t term() const { return term_; }
+  std::vector<std::string> machine_names() const;
+  struct MachineView {
+    std::string id, addr, type, zone;
+    bool spot, reported, idle, shunned, noticed, has_service;
+    Ms idle_for, silent_for;
+  };
+  std::vector<MachineView> machine_views(Ms now) const;
+  std::size_t job_count() const { return jobs_.size(); }
+  std::uint64_t starts() const { return starts_; }
+
+ private:
+  enum class State : std::uint8_t { queued, bound, done, recorded };
+  struct Job;
+  struct Machine;
+  struct Bound {
+    Job* job = nullptr;  // null: an orphan, to be killed
+    std::uint64_t attempt = 0;
+    TaskPhase phase = TaskPhase::pulling;
+    bool killing = false;
+    double cpus = 0, gpus = 0, memory_gb = 0;  // kept by an orphan until it is gone
+    int team = -1;
+  };
+  using TaskKey = std::pair<std::string, std::uint32_t>;
+  struct Machine {
+    std::string id, addr, zone, type_name;
+    std::uint64_t stamp = 0;
+    bool spot = false;
+    const MachineType* type = nullptr;
+    bool proven = false;    // has reported under our term (or is fresh)
+    bool reported = false;
+    bool leaving = false;
+    bool gone = false;      // its lease is over; a new tenure must appear
+    std::uint64_t tenure = 0, tick = 0;
+    Ms last_answer = 0;     // the last 200 anyone could have given
+    Ms last_report = 0;
+    Ms idle_since = 0;
+    std::optional<Ms> taken_at;  // spot notice
+    std::map<TaskKey, Bound> tasks;
+    double cpus = 0, gpus = 0, memory_gb = 0;  // taken
+    std::set<std::string> images;
+    int errors = 0;
+    Ms shun_until = 0, shun_ms = 0;
+  };
+  struct Job {
+    JobSpec spec;
+    std::uint64_t stamp = 0;
+    bool older = false, held = false;
+    int team = -1;
+    std::vector<State> state;
+    std::uint32_t first_queued = 0;  // none below this is queued
+    std::uint32_t queued = 0, bound = 0, running = 0, done = 0, unrecorded = 0;
+    std::map<std::string, int> zones;  // bound tasks by zone
+    std::set<std::string> bad_machines;
+    Ms not_before = 0, backoff = 0;
+  };
+
+  void release(Machine& m, const TaskKey& key, bool requeue);
+  void bind(Machine& m, Job& j, std::uint32_t i, std::uint64_t attempt, TaskPhase p);
+  void requeue(Job& j, std::uint32_t i);
+  void set_done(Job& j, std::uint32_t i);
+  void drop_all(Machine& m);
+  void note_error(Machine& m, Job& j, Ms now);
+  bool fits(const Machine& m, const Job& j, double unproven_cpus) const;
+  bool all_proven() const;
+  static bool holds_unknown(const Machine& m);
+  double unproven_cpus() const;
+  int team_index(const std::string& name) const;
+
+  int index_;
+  std::uint64_t term_;
+  Ms claimed_at_;
+  PartLimits limits_;
+  std::vector<Team> teams_;
+  std::vector<double> team_cpus_, team_gpus_;  // taken by tasks that may run
+  std::map<std::string, MachineType> types_;
+  std::unordered_map<std::string, std::unique_ptr<Machine>> machines_;
+  std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
+  std::vector<Job*> order_;  // by rank, then age
+  std::uint64_t counter_ = 0, starts_ = 0;
+  std::map<std::string, std::vector<Order>> kills_;
+};
+
+}  // namespace eiderreel
--- /dev/null
+++ b/src/core/types.h
@@ -0,0 +1,84 @@
+// The terms of the core: what a job asks for, what a worker reports, what it is told.
+#pragma once
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "constants.h"
+
+namespace eiderreel {
+
+enum class Rank : std::uint8_t { best_effort, standard, high, production };
+enum class Kind : std::uint8_t { array, service };
+enum class JobPhase : std::uint8_t { queued, running, done, cancelled };
+enum class TaskPhase : std::uint8_t { pulling, running, flushing, exited };
+enum class Cause : std::uint8_t { none, done, stopped, error, no_room, busy, no_such };
+enum class Verb : std::uint8_t { launch, kill, clear };
+
+struct JobSpec {
+  std::string id, jobclass, team;
+  Kind kind = Kind::array;
+  Rank rank = Rank::standard;
+  std::uint32_t tasks = 1;
+  double cpus = 0, gpus = 0, memory_gb = 0;
+  std::vector<std::string> types;  // empty: any
+  std::string zone;                // empty: any
+  bool one_zone = false, spread = false, spot = false;
+  std::string image;
+  double image_gb = 0, estimate_s = 0, checkpoint_s = 0, save_s = 0;
+  std::optional<double> deadline_s;
+};
+
+struct Team {
+  std::string name;
+  double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;
+};
+
+struct MachineType {
+  std::string name;
+  double cpus = 0, gpus = 0, memory_gb = 0, cache_gb = 0, fetch_gb_per_s = 0;
+  double price = 0, spot_price = 0, boot_s = 0;
+  std::vector<std::string> zones;
+};
+
+struct TaskReport {
+  std::string job;
+  std::uint32_t index = 0;
+  std::uint64_t attempt = 0;
+  TaskPhase phase = TaskPhase::pulling;
+  Cause cause = Cause::none;
+};
+
+struct Report {
+  std::string machine, addr, type, zone;
+  bool spot = false;
+  std::uint64_t tenure = 0, tick = 0, term = 0;
+  std::optional<double> notice_s;
+  std::vector<TaskReport> tasks;
+};
+
+struct Order {
+  Verb verb = Verb::launch;
+  std::string job;
+  std::uint32_t index = 0;
+  std::uint64_t attempt = 0;
+  double grace_s = 0;
+};
+
+struct JobStatus {
+  JobPhase phase = JobPhase::queued;
+  std::uint32_t done = 0, running = 0;
+};
+
+// Whether a machine of this type, zone and kind may ever hold a task of the job.
+inline bool allowed(const JobSpec& j, const MachineType& t, const std::string& zone, bool spot) {
+  if (spot && !j.spot) return false;
+  if (!j.zone.empty() && j.zone != zone) return false;
+  if (!j.types.empty() && std::find(j.types.begin(), j.types.end(), t.name) == j.types.end())
+    return false;
+  return j.cpus <= t.cpus && j.gpus <= t.gpus && j.memory_gb <= t.memory_gb;
+}
+
+}  // namespace eiderreel
