--- a/src/actors/desk.cc
+++ b/src/actors/desk.cc
@@ -89,8 +89,8 @@
 void Desk::look_up(const std::string& id, bool cancel, Reply reply) {
   const View& v = registrar_.view();
   if (auto f = v.finals.find(id); f != v.finals.end())
-    return reply(200, cancel ? codec::job_answer(id, f->second)
-                             : codec::job_status(id, {f->second, 0, 0}));
+    return reply(
+        200, cancel ? codec::job_answer(id, f->second) : codec::job_status(id, {f->second, 0, 0}));
   if (!v.jobs.count(id)) return read_open(id, cancel, std::move(reply));
   ask_owner(id, cancel, [this, id, cancel, reply](int status, std::string body) {
     if (status != 0) return reply(status, std::move(body));
@@ -108,8 +108,7 @@
     }
     registrar_.read(codec::final_key(id), [this, id, cancel, reply](auto row) {
       if (!row) return refuse(reply, "the state service does not answer");
-      if (row->stamp == 0 || !row->final_phase)
-        return reply(404, codec::error_body("no such job"));
+      if (row->stamp == 0 || !row->final_phase) return reply(404, codec::error_body("no such job"));
       registrar_.remember_final(id, *row->final_phase);
       reply(200, cancel ? codec::job_answer(id, *row->final_phase)
                         : codec::job_status(id, {*row->final_phase, 0, 0}));
--- a/src/actors/fleet.cc
+++ b/src/actors/fleet.cc
@@ -28,7 +28,7 @@
 void Fleet::call(HttpRequest r, std::function<void(HttpReply)> done) {
   const Ms now = rt_.now();
   tokens_ = std::min(s_.cloud_rps, tokens_ + static_cast<double>(now - refilled_) / 1000.0 *
-                                                s_.cloud_rps * k::kBudgetShare);
+                                                 s_.cloud_rps * k::kBudgetShare);
   refilled_ = now;
   if (tokens_ < 1) {
     rt_.after(k::kRetryMs, [done = std::move(done)] { done({429, ""}); });
@@ -83,8 +83,8 @@
     auto n = needs.find(p);
     const double waiting = n == needs.end() ? 0 : n->second.waiting_cpus;
     const double ratio = (assigned_cpus(p) + cpus) / weight(p);
-    const bool better = waiting > best_waiting + cpus ||
-                        (waiting > best_waiting - cpus && ratio < best_ratio);
+    const bool better =
+        waiting > best_waiting + cpus || (waiting > best_waiting - cpus && ratio < best_ratio);
     if (best_waiting < 0 || better) {
       best = p;
       best_waiting = waiting;
@@ -201,8 +201,8 @@
     auto best = std::min_element(offers.begin(), offers.end(),
                                  [](const auto& a, const auto& b) { return a.price < b.price; });
     if (best != offers.end()) {
-      const int count = std::clamp(static_cast<int>(std::ceil(lack / best->t->cpus)), 1,
-                                   k::kRentMost);
+      const int count =
+          std::clamp(static_cast<int>(std::ceil(lack / best->t->cpus)), 1, k::kRentMost);
       rent(*best->t, best->zone, best->spot, count);
     }
   }
@@ -314,8 +314,8 @@
       continue;
     }
     const MachineType* t = type(e.listed.type);
-    const bool stuck = e.listed.phase == "starting" && t &&
-                       e.listed.held_s > t->boot_s * k::kStuckBoots;
+    const bool stuck =
+        e.listed.phase == "starting" && t && e.listed.held_s > t->boot_s * k::kStuckBoots;
     if ((e.listed.phase == "failed" || stuck) && in_list_.count(id)) {
       auto m = v.machines.find(id);
       codec::MachineRecord record{-1, e.listed.type, e.listed.zone, e.listed.addr, e.listed.spot};
@@ -385,8 +385,7 @@
 
 void Fleet::tick() {
   const Ms now = rt_.now();
-  if (!catalog_asked_ &&
-      now - catalog_at_ >= (types_.empty() ? k::kRetryMs : k::kCatalogEveryMs))
+  if (!catalog_asked_ && now - catalog_at_ >= (types_.empty() ? k::kRetryMs : k::kCatalogEveryMs))
     get_catalog();
   if (!owner_.leading() || types_.empty()) {
     was_leading_ = false;
--- a/src/actors/fleet.h
+++ b/src/actors/fleet.h
@@ -64,7 +64,8 @@
   Hooks hooks_;
   std::vector<MachineType> types_;
   bool catalog_asked_ = false, listing_ = false, returning_ = false, renting_ = false;
-  Ms catalog_at_ = 0, listed_at_ = 0, list_sent_ = 0, balanced_at_ = 0, scaled_at_ = 0, short_since_ = 0;
+  Ms catalog_at_ = 0, listed_at_ = 0, list_sent_ = 0, balanced_at_ = 0, scaled_at_ = 0,
+     short_since_ = 0;
   double tokens_ = 0;
   Ms refilled_ = 0;
   bool was_leading_ = false;
--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -161,8 +161,7 @@
     const std::string home = s_.home_of(part);
     if (home == s_.node || !o.active || !registrar_.grant_alive()) continue;
     auto node = v.nodes.find(home);
-    if (node == v.nodes.end() || now - node->second.seen < k::kHandBackAfterMs ||
-        !peer_alive(home))
+    if (node == v.nodes.end() || now - node->second.seen < k::kHandBackAfterMs || !peer_alive(home))
       continue;
     const std::uint64_t stamp = o.core->term();
     const int p = part;
--- a/src/actors/registrar.cc
+++ b/src/actors/registrar.cc
@@ -145,8 +145,8 @@
             if (id) {
               grant_ = *id;
               last_extend_ = sent;
-              alive_until_ = sent + static_cast<Ms>(k::kGrantLifeMs * (1 - k::kDrift)) -
-                             k::kGrantMarginMs;
+              alive_until_ =
+                  sent + static_cast<Ms>(k::kGrantLifeMs * (1 - k::kDrift)) - k::kGrantMarginMs;
               node_written_ = false;
               granting_ = false;
               spdlog::info("grant new node={} grant={}", s_.node, grant_);
@@ -169,8 +169,8 @@
             extending_ = false;
             if (id != grant_) return;
             if (r.status == 200) {
-              alive_until_ = sent + static_cast<Ms>(k::kGrantLifeMs * (1 - k::kDrift)) -
-                             k::kGrantMarginMs;
+              alive_until_ =
+                  sent + static_cast<Ms>(k::kGrantLifeMs * (1 - k::kDrift)) - k::kGrantMarginMs;
             } else if (r.status == 404) {
               spdlog::warn("grant lost node={} grant={}", s_.node, grant_);
               grant_ = 0;
@@ -367,8 +367,7 @@
                 c->done(Outcome::unknown, 0);
                 return;
               }
-              rt_.after(k::kRetryMs,
-                        [this, c, tries] { try_commit(c, tries - 1, true); });
+              rt_.after(k::kRetryMs, [this, c, tries] { try_commit(c, tries - 1, true); });
             } else {
               c->done(Outcome::refused, 0);
             }
@@ -397,7 +396,10 @@
 
 void Registrar::read(const std::string& key,
                      std::function<void(std::optional<codec::StateRow>)> done) {
-  submit({{"", "GET", "/kv/" + key, "", k::kStateTimeoutMs}, 0, 1, 0,
+  submit({{"", "GET", "/kv/" + key, "", k::kStateTimeoutMs},
+          0,
+          1,
+          0,
           [key, done = std::move(done)](HttpReply r) {
             if (r.status == 404) {
               codec::StateRow none;
@@ -419,7 +421,10 @@
                           std::function<void(std::optional<std::vector<codec::StateRow>>)> done) {
   std::string path = "/kv?prefix=" + prefix + "&page=" + std::to_string(k::kListPage);
   if (!since.empty()) path += "&since=" + since;
-  submit({{"", "GET", path, "", k::kStateTimeoutMs * 2}, 0, 0, 0,
+  submit({{"", "GET", path, "", k::kStateTimeoutMs * 2},
+          0,
+          0,
+          0,
           [this, prefix, rows, done = std::move(done)](HttpReply r) {
             auto page = r.status == 200 ? codec::parse_list(r.body) : std::nullopt;
             if (!page) {
--- a/src/actors/registrar.h
+++ b/src/actors/registrar.h
@@ -63,7 +63,7 @@
 class Registrar {
  public:
   struct Events {
-    std::function<void(const std::string& id)> job_opened, job_closed, machine_changed;
+    std::function<void(const std::string&id)> job_opened, job_closed, machine_changed;
     std::function<void(int part)> part_changed;
     std::function<void()> grant_lost;
   };
--- a/src/actors/runtime.h
+++ b/src/actors/runtime.h
@@ -20,8 +20,8 @@
 class Runtime {
  public:
   virtual ~Runtime() = default;
-  virtual Ms now() const = 0;       // steady clock
-  virtual double random() = 0;      // [0, 1)
+  virtual Ms now() const = 0;               // steady clock
+  virtual double random() = 0;              // [0, 1)
   virtual std::string boot_id() const = 0;  // differs for every start of a process
   virtual void after(Ms delay, std::function<void()> f) = 0;
   virtual void http(HttpRequest r, std::function<void(HttpReply)> done) = 0;
--- a/src/actors/settings.cc
+++ b/src/actors/settings.cc
@@ -108,8 +108,7 @@
         r.text(*e, path, "node_name", p.name);
         r.text(*e, path, "area", p.zone);
         r.address(*e, path, "endpoint", p.mesh_addr);
-        if (!p.name.empty() && p.name == s.node)
-          r.problem(path + "node_name", "is our own name");
+        if (!p.name.empty() && p.name == s.node) r.problem(path + "node_name", "is our own name");
         s.peers.push_back(p);
       }
     }
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -52,10 +52,10 @@
   net::Loop loop(s);
   Node node(loop, s);
   std::string error;
-  const bool listening = loop.listen(
-      [&](const std::string& method, const std::string& path, const std::string& body,
-          Reply reply) { node.request(method, path, body, std::move(reply)); },
-      [&](const std::string& bytes) { node.frame(bytes); }, error);
+  const bool listening =
+      loop.listen([&](const std::string& method, const std::string& path, const std::string& body,
+                      Reply reply) { node.request(method, path, body, std::move(reply)); },
+                  [&](const std::string& bytes) { node.frame(bytes); }, error);
   if (!listening) {
     spdlog::error("start failed node={} reason=\"{}\"", s.node, error);
     return kExitFailed;
@@ -71,8 +71,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  CLI::App app{"eiderreel, a cluster scheduler: tasks wait in team queues and are bound to a "
-               "machine when its report shows free room."};
+  CLI::App app{
+      "eiderreel, a cluster scheduler: tasks wait in team queues and are bound to a "
+      "machine when its report shows free room."};
   app.set_version_flag("--version", std::string("eiderreel ") + EIDERREEL_VERSION);
   app.require_subcommand(1);
   std::string config;
--- a/src/codec/json.cc
+++ b/src/codec/json.cc
@@ -244,8 +244,8 @@
     std::string bits;
     std::uint64_t chunk = 0;
     if (get(v, "bits", bits) && get(v, "chunk", chunk))
-      r.done = DoneRecord{
-          unpack_bits(bits, static_cast<std::uint32_t>(chunk) * constants::kDoneChunk)};
+      r.done =
+          DoneRecord{unpack_bits(bits, static_cast<std::uint32_t>(chunk) * constants::kDoneChunk)};
   }
 }
 
--- a/src/codec/mesh.h
+++ b/src/codec/mesh.h
@@ -42,8 +42,7 @@
   bool given = false;
 };
 
-using Body =
-    std::variant<Hello, Ask, Answer, Status, Move, Unassigned, PledgeAsk, Pledge, Gone>;
+using Body = std::variant<Hello, Ask, Answer, Status, Move, Unassigned, PledgeAsk, Pledge, Gone>;
 struct Message {
   std::string from;
   Body body;
--- a/src/constants.h
+++ b/src/constants.h
@@ -11,9 +11,9 @@
 namespace constants {
 
 // --- clocks -------------------------------------------------------------------------------
-constexpr double kDrift = 0.001;        // share; twice the 0.05% the protocol allows a clock
-constexpr Ms kProofMarginMs = 250;      // ms; timer steps and a slow processor on both sides
-constexpr Ms kTickMs = 50;              // ms; pace of all periodic work, fine enough for parking
+constexpr double kDrift = 0.001;    // share; twice the 0.05% the protocol allows a clock
+constexpr Ms kProofMarginMs = 250;  // ms; timer steps and a slow processor on both sides
+constexpr Ms kTickMs = 50;          // ms; pace of all periodic work, fine enough for parking
 
 // --- grants, parts ------------------------------------------------------------------------
 constexpr Ms kGrantLifeMs = 5000;       // ms; a dead owner's part is vacant after this
@@ -38,47 +38,47 @@
 constexpr int kAttemptBits = 24;        // bits; attempts within one term, below the term's bits
 
 // --- state service ------------------------------------------------------------------------
-constexpr double kBudgetShare = 0.9;    // share of the rates used; the rest absorbs clock skew
-constexpr Ms kStateTimeoutMs = 1500;    // ms; answers mostly take 10, sometimes some hundred
-constexpr Ms kFollowWaitMs = 5000;      // ms; long poll; short enough to notice a hung link
-constexpr Ms kFollowSlackMs = 2500;     // ms; beyond the wait before a follow counts as hung
-constexpr Ms kFollowPauseMs = 100;      // ms; gathers changes, so a busy minute costs few requests
-constexpr int kListPage = 500;          // items; half of the largest page
-constexpr int kCommitTries = 3;         // tries of a commit before its caller hears "unknown"
-constexpr Ms kRetryMs = 300;            // ms; pause before a state request is tried again
-constexpr Ms kDoneBatchMs = 3000;       // ms; finished tasks of a job are written this often
-constexpr std::uint32_t kDoneChunk = 32768;   // tasks; 4 KiB of bits, 5.5 KiB as base64, under 8 KiB
-constexpr std::size_t kFinalCache = 20000;    // finished jobs remembered; older ones are read again
+constexpr double kBudgetShare = 0.9;  // share of the rates used; the rest absorbs clock skew
+constexpr Ms kStateTimeoutMs = 1500;  // ms; answers mostly take 10, sometimes some hundred
+constexpr Ms kFollowWaitMs = 5000;    // ms; long poll; short enough to notice a hung link
+constexpr Ms kFollowSlackMs = 2500;   // ms; beyond the wait before a follow counts as hung
+constexpr Ms kFollowPauseMs = 100;    // ms; gathers changes, so a busy minute costs few requests
+constexpr int kListPage = 500;        // items; half of the largest page
+constexpr int kCommitTries = 3;       // tries of a commit before its caller hears "unknown"
+constexpr Ms kRetryMs = 300;          // ms; pause before a state request is tried again
+constexpr Ms kDoneBatchMs = 3000;     // ms; finished tasks of a job are written this often
+constexpr std::uint32_t kDoneChunk = 32768;  // tasks; 4 KiB of bits, 5.5 KiB as base64, under 8 KiB
+constexpr std::size_t kFinalCache = 20000;   // finished jobs remembered; older ones are read again
 
 // --- users --------------------------------------------------------------------------------
-constexpr std::size_t kBodyMax = 65536;       // bytes; protocol
-constexpr std::uint32_t kTasksMax = 100000;   // protocol
-constexpr Ms kMeshAskMs = 700;                // ms; a user waits 2 s for a poll, two tries fit
-constexpr int kRetryAfterS = 1;               // s; told to users who are refused
-constexpr int kHeadersMax = 16384;            // bytes
-constexpr int kIdleConnectionS = 60;          // s; users poll every 5 s, so an idle one is dead
-constexpr std::size_t kPendingMax = 256;      // requests to the state service waiting at once
+constexpr std::size_t kBodyMax = 65536;      // bytes; protocol
+constexpr std::uint32_t kTasksMax = 100000;  // protocol
+constexpr Ms kMeshAskMs = 700;               // ms; a user waits 2 s for a poll, two tries fit
+constexpr int kRetryAfterS = 1;              // s; told to users who are refused
+constexpr int kHeadersMax = 16384;           // bytes
+constexpr int kIdleConnectionS = 60;         // s; users poll every 5 s, so an idle one is dead
+constexpr std::size_t kPendingMax = 256;     // requests to the state service waiting at once
 
 // --- mesh ---------------------------------------------------------------------------------
-constexpr Ms kMeshRedialMs = 500;             // ms
-constexpr Ms kMeshStuckMs = 4000;             // ms; unsent bytes or a dial without progress
-constexpr Ms kMeshSilentMs = 10000;           // ms; peers speak every half second
-constexpr Ms kStatusEveryMs = 500;            // ms; peers' news of load, sent to all
-constexpr Ms kStatusStaleMs = 2500;           // ms; a peer silent so long is treated as gone
-constexpr std::size_t kMeshFrameMax = 1 << 20;  // bytes
+constexpr Ms kMeshRedialMs = 500;                 // ms
+constexpr Ms kMeshStuckMs = 4000;                 // ms; unsent bytes or a dial without progress
+constexpr Ms kMeshSilentMs = 10000;               // ms; peers speak every half second
+constexpr Ms kStatusEveryMs = 500;                // ms; peers' news of load, sent to all
+constexpr Ms kStatusStaleMs = 2500;               // ms; a peer silent so long is treated as gone
+constexpr std::size_t kMeshFrameMax = 1 << 20;    // bytes
 constexpr std::size_t kMeshBacklogMax = 1 << 20;  // bytes unsent before a link is dropped
 
 // --- cloud --------------------------------------------------------------------------------
-constexpr Ms kCloudTimeoutMs = 8000;          // ms
-constexpr Ms kListEveryMs = 3000;             // ms
-constexpr Ms kCatalogEveryMs = 60000;         // ms; prices move slowly
-constexpr Ms kLeaderSettlesMs = 8000;         // ms; a new leader first hears of machines and needs
-constexpr Ms kFleetEveryMs = 1000;            // ms
-constexpr Ms kNeedLastsMs = 2000;             // ms; a lack of room must last before it is rented for
-constexpr Ms kIdleReturnMs = 45000;           // ms; an idle machine is kept about a boot time
-constexpr Ms kNoCapacityPauseMs = 15000;      // ms; before a refused type and zone is asked again
-constexpr double kStuckBoots = 4.0;           // times ready_s before a starting machine is returned
-constexpr int kRentMost = 4;                  // machines in one request; spreads over zones
+constexpr Ms kCloudTimeoutMs = 8000;      // ms
+constexpr Ms kListEveryMs = 3000;         // ms
+constexpr Ms kCatalogEveryMs = 60000;     // ms; prices move slowly
+constexpr Ms kLeaderSettlesMs = 8000;     // ms; a new leader first hears of machines and needs
+constexpr Ms kFleetEveryMs = 1000;        // ms
+constexpr Ms kNeedLastsMs = 2000;         // ms; a lack of room must last before it is rented for
+constexpr Ms kIdleReturnMs = 45000;       // ms; an idle machine is kept about a boot time
+constexpr Ms kNoCapacityPauseMs = 15000;  // ms; before a refused type and zone is asked again
+constexpr double kStuckBoots = 4.0;       // times ready_s before a starting machine is returned
+constexpr int kRentMost = 4;              // machines in one request; spreads over zones
 
 }  // namespace constants
 }  // namespace eiderreel
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -147,9 +147,10 @@
       ++j->done;
     }
   // Oldest first within a rank: the stamp of acceptance is the age.
-  auto pos = std::upper_bound(order_.begin(), order_.end(), j.get(), [](const Job* a, const Job* b) {
-    return a->spec.rank != b->spec.rank ? a->spec.rank > b->spec.rank : a->stamp < b->stamp;
-  });
+  auto pos =
+      std::upper_bound(order_.begin(), order_.end(), j.get(), [](const Job* a, const Job* b) {
+        return a->spec.rank != b->spec.rank ? a->spec.rank > b->spec.rank : a->stamp < b->stamp;
+      });
   order_.insert(pos, j.get());
   jobs_[spec.id] = std::move(j);
 }
@@ -306,8 +307,8 @@
 void Part::note_error(Machine& m, Job& j, Ms now) {
   j.bad_machines.insert(m.id);
   if (static_cast<int>(j.bad_machines.size()) >= constants::kJobBadMachines && j.done == 0) {
-    j.backoff = j.backoff ? std::min(j.backoff * 2, constants::kJobBackoffMaxMs)
-                          : constants::kJobBackoffMs;
+    j.backoff =
+        j.backoff ? std::min(j.backoff * 2, constants::kJobBackoffMaxMs) : constants::kJobBackoffMs;
     j.not_before = now + j.backoff;
     return;
   }
@@ -420,8 +421,8 @@
 
 std::vector<std::string> Part::tick(Ms now) {
   std::vector<std::string> lost;
-  const Ms limit = static_cast<Ms>(limits_.lease_ms * (1 + constants::kDrift)) +
-                   constants::kProofMarginMs;
+  const Ms limit =
+      static_cast<Ms>(limits_.lease_ms * (1 + constants::kDrift)) + constants::kProofMarginMs;
   for (auto& [id, m] : machines_) {
     if (m->gone || now - m->last_answer <= limit) continue;
     // Invariant 5: no answer could have renewed the lease; the worker has killed all it had.
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -131,12 +131,12 @@
     std::uint64_t stamp = 0;
     bool spot = false;
     const MachineType* type = nullptr;
-    bool proven = false;    // has reported under our term (or is fresh)
+    bool proven = false;  // has reported under our term (or is fresh)
     bool reported = false;
     bool leaving = false;
-    bool gone = false;      // its lease is over; a new tenure must appear
+    bool gone = false;  // its lease is over; a new tenure must appear
     std::uint64_t tenure = 0, tick = 0;
-    Ms last_answer = 0;     // the last 200 anyone could have given
+    Ms last_answer = 0;  // the last 200 anyone could have given
     Ms last_report = 0;
     Ms idle_since = 0;
     std::optional<Ms> taken_at;  // spot notice
--- a/src/net/loop.cc
+++ b/src/net/loop.cc
@@ -31,15 +31,24 @@
 
 const char* reason(int status) {
   switch (status) {
-    case 200: return "OK";
-    case 201: return "Created";
-    case 400: return "Bad Request";
-    case 404: return "Not Found";
-    case 405: return "Method Not Allowed";
-    case 421: return "Misdirected Request";
-    case 422: return "Unprocessable Entity";
-    case 503: return "Service Unavailable";
-    default: return "Status";
+    case 200:
+      return "OK";
+    case 201:
+      return "Created";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 421:
+      return "Misdirected Request";
+    case 422:
+      return "Unprocessable Entity";
+    case 503:
+      return "Service Unavailable";
+    default:
+      return "Status";
   }
 }
 
@@ -71,9 +80,9 @@
     req = nullptr;
     evhttp_connection_set_closecb(evhttp_request_get_connection(r), nullptr, nullptr);
     evkeyvalq* headers = evhttp_request_get_output_headers(r);
-    evhttp_add_header(headers, "Content-Type",
-                      !body.empty() && body[0] != '{' ? "text/plain; version=0.0.4"
-                                                      : "application/json");
+    evhttp_add_header(
+        headers, "Content-Type",
+        !body.empty() && body[0] != '{' ? "text/plain; version=0.0.4" : "application/json");
     if (status == 503 || status == 429)
       evhttp_add_header(headers, "Retry-After", std::to_string(k::kRetryAfterS).c_str());
     evbuffer* out = evhttp_request_get_output_buffer(r);
@@ -180,8 +189,8 @@
   evhttp_set_max_headers_size(server_, static_cast<ev_ssize_t>(k::kHeadersMax));
   evhttp_set_timeout(server_, static_cast<int>(k::kIdleConnectionS));
   evhttp_set_allowed_methods(server_, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
-                                          EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD |
-                                          EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS);
+                                          EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH |
+                                          EVHTTP_REQ_OPTIONS);
   evhttp_set_gencb(server_, &Loop::on_http, this);
   if (evhttp_bind_socket(server_, api.host.c_str(), static_cast<std::uint16_t>(api.port)) != 0) {
     error = "cannot listen on api_addr " + s_.api_addr;
@@ -199,18 +208,23 @@
   auto* self = static_cast<Loop*>(arg);
   std::string method;
   switch (evhttp_request_get_command(req)) {
-    case EVHTTP_REQ_GET: method = "GET"; break;
-    case EVHTTP_REQ_POST: method = "POST"; break;
-    default: method = "OTHER"; break;
+    case EVHTTP_REQ_GET:
+      method = "GET";
+      break;
+    case EVHTTP_REQ_POST:
+      method = "POST";
+      break;
+    default:
+      method = "OTHER";
+      break;
   }
   const char* uri = evhttp_request_get_uri(req);
   std::string path = uri ? uri : "";
   if (auto q = path.find('?'); q != std::string::npos) path.resize(q);
   std::string body = take_body(req);
   auto pending = std::make_shared<PendingReply>(req);
-  self->on_request_(method, path, body, [pending](int status, std::string text) {
-    pending->send(status, text);
-  });
+  self->on_request_(method, path, body,
+                    [pending](int status, std::string text) { pending->send(status, text); });
 }
 
 void Loop::every(Ms period, std::function<void()> f) {
--- /dev/null
+++ b/tests/answers_test.cc
@@ -0,0 +1,164 @@
+// What users get for what they send, through a node, and what a settings file gets.
+#include <gtest/gtest.h>
+
+#include <fstream>
+
+#include "standin/world.h"
+
+using namespace eiderreel;
+using namespace eiderreel::standin;
+
+namespace {
+
+struct Answers : testing::Test {
+  World w{Options{}};
+  int status = -1;
+  std::string body;
+  void ask(const std::string& method, const std::string& path, const std::string& text = "") {
+    status = -1;
+    w.raw(1, method, path, text, [this](int s, std::string b) {
+      status = s;
+      body = b;
+    });
+    w.run_until(w.now() + 1);
+  }
+  std::string spec(const JobSpec& s) { return codec::encode(s, "u"); }
+  void SetUp() override { w.run_until(5); }
+};
+
+TEST_F(Answers, OfEachKind) {
+  ask("GET", "/ready");
+  EXPECT_EQ(status, 200);
+  ask("POST", "/v1/jobs", "nonsense");
+  EXPECT_EQ(status, 400);
+  EXPECT_NE(body.find("\"error\""), std::string::npos);
+  ask("POST", "/v1/jobs", spec(w.job("run-1", "nobody", 1)));
+  EXPECT_EQ(status, 422);
+  ask("POST", "/v1/jobs", spec(w.job("run-1", "red", 1, 9)));  // no machine has nine CPUs
+  EXPECT_EQ(status, 422);
+  JobSpec service = w.job("run-1", "red", 7, 8);
+  service.kind = Kind::service;  // 56 CPUs at once, above the limit of 48
+  ask("POST", "/v1/jobs", spec(service));
+  EXPECT_EQ(status, 422);
+  ask("GET", "/v1/jobs/run-1");
+  EXPECT_EQ(status, 404);
+  ask("GET", "/v1/jobs/nonsense");
+  EXPECT_EQ(status, 404);
+  ask("POST", "/v1/jobs/run-1/cancel");
+  EXPECT_EQ(status, 404);
+  ask("GET", "/v2");
+  EXPECT_EQ(status, 404);
+  ask("DELETE", "/v1/jobs");
+  EXPECT_EQ(status, 405);
+  ask("POST", "/v1/report", "{}");
+  EXPECT_EQ(status, 400);
+}
+
+TEST_F(Answers, ARepeatedSubmissionIsKnownAtAnyTime) {
+  const JobSpec s = w.job("run-1", "red", 2);
+  w.submit(s);
+  w.run_until(6);
+  ask("POST", "/v1/jobs", spec(s));
+  EXPECT_EQ(status, 200);
+  w.run_until(40);
+  ASSERT_EQ(w.phase("run-1"), "done");
+  ask("POST", "/v1/jobs", spec(s));
+  EXPECT_EQ(status, 200);
+  EXPECT_NE(body.find("done"), std::string::npos);
+  EXPECT_TRUE(w.checker().broken().empty());
+}
+
+// Invariant 9: what cannot be taken is refused at once.
+TEST_F(Answers, DuringAnOutageSubmissionsAreRefusedAtOnce) {
+  w.state_outage(true);
+  ask("POST", "/v1/jobs", spec(w.job("run-1", "red", 1)));
+  EXPECT_EQ(status, 503);
+}
+
+std::string file_with(const std::string& text) {
+  const std::string path = testing::TempDir() + "settings.toml";
+  std::ofstream(path) << text;
+  return path;
+}
+
+const char* const kGood = R"(
+node_name = "n0"
+area = "a"
+api_addr = "10.0.0.1:8080"
+mesh_addr = "10.0.0.1:8081"
+unknown = 7
+[[known]]
+node_name = "n1"
+area = "a"
+endpoint = "10.0.0.2:8081"
+[outside]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[params]
+size = 2
+zones = ["a"]
+skew_ms = 25.0
+[[params.teams]]
+name = "red"
+cpus = 10.0
+cpus_max = 20.0
+gpus = 0.0
+gpus_max = 0.0
+[params.workers]
+report_s = 1.0
+lease_s = 10.0
+cancel_s = 40.0
+[params.state]
+rps = 60.0
+write_rps = 20.0
+value_kb = 8.0
+txn_ops = 16
+[params.cloud]
+rps = 4.0
+list_lag_s = 5.0
+[params.quota]
+core_share = 0.1
+memory_mb = 56.0
+max_sockets = 600
+)";
+
+std::string with(const std::string& from, const std::string& to) {
+  std::string s = kGood;
+  s.replace(s.find(from), from.size(), to);
+  return s;
+}
+
+TEST(SettingsFile, AGoodOneHasNoProblems) {
+  auto r = load_settings(file_with(kGood));
+  EXPECT_TRUE(r.problems.empty());
+  EXPECT_EQ(r.settings.part_of_team("red"), 0);
+  EXPECT_EQ(r.settings.home_of(1), "n1");
+}
+
+TEST(SettingsFile, EveryProblemIsOneLineWithFileAndField) {
+  struct Case {
+    std::string text, field;
+  };
+  for (const Case& c : {Case{with("node_name = \"n0\"", ""), "node_name"},
+                        Case{with("area = \"a\"", "area = 7"), "area"},
+                        Case{with("10.0.0.1:8080", "10.0.0.1"), "api_addr"},
+                        Case{with("\"n1\"", "\"n0\""), "known[0].node_name"},
+                        Case{with("size = 2", "size = \"two\""), "params.size"},
+                        Case{with("size = 2", "size = 0"), "params.size"},
+                        Case{with("cpus = 10.0", "cpus = 30.0"), "params.teams[0].cpus"},
+                        Case{with("lease_s = 10.0", "lease_s = 0.9"), "params.workers.lease_s"},
+                        Case{with("rps = 60.0", "rps = -1"), "params.state.rps"},
+                        Case{with("cloud = \"10.2.0.2:8443\"", ""), "outside.cloud"}}) {
+    const std::string path = file_with(c.text);
+    auto r = load_settings(path);
+    ASSERT_EQ(r.problems.size(), 1u) << c.field;
+    EXPECT_EQ(r.problems[0].find(path + ": " + c.field + ": "), 0u) << r.problems[0];
+  }
+}
+
+TEST(SettingsFile, AllProblemsAreToldAtOnce) {
+  EXPECT_GT(load_settings(file_with("x = 1")).problems.size(), 5u);
+  EXPECT_EQ(load_settings(file_with("x = ")).problems.size(), 1u);
+}
+
+}  // namespace
--- /dev/null
+++ b/tests/checker_test.cc
@@ -0,0 +1,136 @@
+// The checker of the stand-in catches a planted violation of each rule, and nothing else.
+#include "standin/checker.h"
+
+#include <gtest/gtest.h>
+
+using namespace eiderreel;
+using standin::Checker;
+
+namespace {
+
+JobSpec spec(const std::string& id, std::uint32_t tasks = 2, double cpus = 1) {
+  JobSpec s;
+  s.id = id;
+  s.team = "red";
+  s.tasks = tasks;
+  s.cpus = cpus;
+  s.types = {"box"};
+  s.spot = false;
+  return s;
+}
+
+const Checker::Place kHere{"m-1", "box", "a", false}, kThere{"m-2", "box", "b", false};
+
+struct CheckerTest : testing::Test {
+  Checker c{{{"red", 4, 8, 0, 0}}, 40};
+  void accepted(const JobSpec& s) {
+    c.submitted(s);
+    c.submit_answer(0, s.id, 201);
+  }
+  // Exactly one rule is broken, and it is this one.
+  void expect(const std::string& rule) {
+    ASSERT_EQ(c.broken().size(), 1u);
+    EXPECT_NE(c.broken()[0].find(" " + rule + ":"), std::string::npos) << c.broken()[0];
+  }
+};
+
+TEST_F(CheckerTest, AnOrdinaryLifeBreaksNothing) {
+  accepted(spec("run-1"));
+  c.told(1, "run-1", "queued");
+  c.task_on(2, kHere, "run-1", 0);
+  c.task_on(2, kThere, "run-1", 1);
+  c.task_done("run-1", 0);
+  c.task_off("m-1", "run-1", 0);
+  c.task_done("run-1", 1);
+  c.task_off("m-2", "run-1", 1);
+  c.told(9, "run-1", "done");
+  c.look(100);
+  EXPECT_TRUE(c.broken().empty());
+}
+
+TEST_F(CheckerTest, RanTwice) {
+  accepted(spec("run-1"));
+  c.task_on(1, kHere, "run-1", 0);
+  c.task_on(2, kThere, "run-1", 0);
+  expect("ran_twice");
+}
+
+TEST_F(CheckerTest, Quota) {
+  accepted(spec("run-1", 3, 4));
+  for (std::uint32_t i = 0; i < 3; ++i) c.task_on(1, kHere, "run-1", i);
+  expect("quota");
+}
+
+TEST_F(CheckerTest, WrongPlace) {
+  accepted(spec("run-1"));
+  c.task_on(1, {"m-1", "box", "a", true}, "run-1", 0);
+  expect("wrong_place");
+}
+
+TEST_F(CheckerTest, WrongPlaceSecondZone) {
+  JobSpec s = spec("run-1");
+  s.one_zone = true;
+  accepted(s);
+  c.task_on(1, kHere, "run-1", 0);
+  c.task_on(1, kThere, "run-1", 1);
+  expect("wrong_place");
+}
+
+TEST_F(CheckerTest, WrongPlaceNotApart) {
+  JobSpec s = spec("run-1", 3);
+  s.spread = true;
+  accepted(s);
+  for (std::uint32_t i = 0; i < 3; ++i) c.task_on(1, kHere, "run-1", i);
+  expect("wrong_place");
+}
+
+TEST_F(CheckerTest, RanCancelled) {
+  accepted(spec("run-1"));
+  c.task_on(1, kHere, "run-1", 0);
+  c.cancel_asked("run-1");
+  c.told(2, "run-1", "cancelled");
+  c.look(41);
+  EXPECT_TRUE(c.broken().empty());
+  c.look(43);
+  expect("ran_cancelled");
+}
+
+TEST_F(CheckerTest, Forgotten) {
+  accepted(spec("run-1"));
+  c.told(1, "run-1", "");
+  expect("forgotten");
+}
+
+TEST_F(CheckerTest, ForgottenWhenRefusedLater) {
+  accepted(spec("run-1"));
+  c.submit_answer(1, "run-1", 422);
+  expect("forgotten");
+}
+
+TEST_F(CheckerTest, Invented) {
+  c.told(1, "run-7", "queued");
+  expect("invented");
+}
+
+TEST_F(CheckerTest, NotDone) {
+  accepted(spec("run-1"));
+  c.task_done("run-1", 0);
+  c.told(1, "run-1", "done");
+  expect("not_done");
+}
+
+TEST_F(CheckerTest, WentBack) {
+  accepted(spec("run-1"));
+  c.cancel_asked("run-1");
+  c.told(1, "run-1", "cancelled");
+  c.told(2, "run-1", "running");
+  expect("went_back");
+}
+
+TEST_F(CheckerTest, WentBackWhenNobodyCancelled) {
+  accepted(spec("run-1"));
+  c.told(1, "run-1", "cancelled");
+  expect("went_back");
+}
+
+}  // namespace
--- /dev/null
+++ b/tests/codec_test.cc
@@ -0,0 +1,152 @@
+// What comes over the wire: every malformed form is refused, and nothing breaks on it.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "codec/json.h"
+#include "codec/mesh.h"
+
+using namespace eiderreel;
+
+namespace {
+
+std::string job_text(const std::string& field = "", const std::string& value = "") {
+  std::vector<std::pair<std::string, std::string>> fields = {{"name_id", "\"run-000412\""},
+                                                             {"jobclass", "\"train\""},
+                                                             {"crew", "\"vision\""},
+                                                             {"shape", "\"sweep\""},
+                                                             {"rank", "\"high\""},
+                                                             {"shards", "16"},
+                                                             {"cores", "8.0"},
+                                                             {"accelerators", "1.0"},
+                                                             {"mem_gb", "64.0"},
+                                                             {"bundle", "\"img-07\""},
+                                                             {"size_gb", "6.2"},
+                                                             {"hulls", "[\"g8\"]"},
+                                                             {"berth", "null"},
+                                                             {"one_zone", "true"},
+                                                             {"apart", "false"},
+                                                             {"driftwood", "true"},
+                                                             {"guess_s", "240.0"},
+                                                             {"snapshot_s", "30.0"},
+                                                             {"stow_s", "4.0"},
+                                                             {"due_s", "900.0"}};
+  std::string out = "{";
+  for (auto& [k, v] : fields) {
+    if (k == field && value.empty()) continue;  // left out
+    out += (out.size() > 1 ? "," : "") + ("\"" + k + "\":") + (k == field ? value : v);
+  }
+  return out + "}";
+}
+
+TEST(JobCodec, TakesTheExampleAndKeepsItWhole) {
+  auto p = codec::parse_job(job_text());
+  ASSERT_TRUE(p.spec) << p.error;
+  EXPECT_EQ(p.spec->id, "run-000412");
+  EXPECT_EQ(p.spec->tasks, 16u);
+  EXPECT_EQ(p.spec->rank, Rank::high);
+  EXPECT_EQ(p.spec->types, std::vector<std::string>{"g8"});
+  EXPECT_EQ(p.spec->zone, "");
+  EXPECT_EQ(p.spec->deadline_s, 900.0);
+  auto again = codec::parse_job(codec::encode(*p.spec, "n"));
+  ASSERT_TRUE(again.spec);
+  EXPECT_EQ(codec::encode(*again.spec, "n"), codec::encode(*p.spec, "n"));
+}
+
+TEST(JobCodec, UnknownFieldsAndMissingNullsAreNoFault) {
+  EXPECT_TRUE(codec::parse_job(job_text("berth")).spec);
+  EXPECT_TRUE(codec::parse_job(job_text("due_s")).spec);
+  EXPECT_TRUE(codec::parse_job(job_text("hulls", "null")).spec);
+  EXPECT_TRUE(codec::parse_job(job_text("jobclass", "\"x\",\"new_field\":{}")).spec);
+}
+
+struct BadField {
+  const char *field, *value;
+};
+class BadJob : public testing::TestWithParam<BadField> {};
+
+TEST_P(BadJob, IsRefusedByName) {
+  auto p = codec::parse_job(job_text(GetParam().field, GetParam().value));
+  EXPECT_FALSE(p.spec);
+  EXPECT_NE(p.error.find(GetParam().field), std::string::npos) << p.error;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Fields, BadJob,
+    testing::Values(BadField{"name_id", ""}, BadField{"name_id", "\"job-1\""},
+                    BadField{"name_id", "\"run-1/../2\""}, BadField{"shape", "\"gang\""},
+                    BadField{"shape", "7"}, BadField{"rank", "\"urgent\""}, BadField{"shards", "0"},
+                    BadField{"shards", "100001"}, BadField{"shards", "-1"},
+                    BadField{"shards", "1.5"}, BadField{"shards", "18446744073709551616"},
+                    BadField{"cores", "-8"}, BadField{"cores", "0"}, BadField{"cores", "1e300"},
+                    BadField{"cores", "\"8\""}, BadField{"mem_gb", "-1"}, BadField{"mem_gb", ""},
+                    BadField{"size_gb", "-0.1"}, BadField{"hulls", "[]"}, BadField{"hulls", "[1]"},
+                    BadField{"berth", "5"}, BadField{"one_zone", "1"}, BadField{"driftwood", ""},
+                    BadField{"guess_s", "null"}, BadField{"due_s", "-5"}));
+
+TEST(JobCodec, WhatIsNotAnObjectIsRefused) {
+  for (const char* body : {"", "nonsense", "[]", "7", "null", "{\"name_id\":", "\"run-1\""})
+    EXPECT_FALSE(codec::parse_job(body).spec) << body;
+}
+
+// Deep nesting must not exhaust the stack.
+TEST(JobCodec, DeepNestingIsRefused) {
+  EXPECT_FALSE(codec::parse_job(std::string(60000, '[')).spec);
+}
+
+TEST(DoneCodec, BitsOfAFullChunkFitTheValueLimitAndComeBack) {
+  std::vector<std::uint32_t> tasks;
+  for (std::uint32_t i = constants::kDoneChunk; i < 2 * constants::kDoneChunk; ++i)
+    if (i % 3) tasks.push_back(i);
+  const std::string value = codec::encode_done(tasks, 1, "n");
+  EXPECT_LT(value.size(), 8192u);
+  auto row = codec::parse_row(codec::stored_row("d/0/run-1/1", value, 9));
+  ASSERT_TRUE(row && row->done);
+  EXPECT_EQ(row->done->tasks, tasks);
+}
+
+TEST(MeshCodec, EveryMessageComesBack) {
+  PartNeed need;
+  need.waiting_cpus = 3.5;
+  need.idle = {"m-1", "m-2"};
+  std::vector<mesh::Body> bodies = {mesh::Hello{},
+                                    mesh::Ask{7, true, "run-1"},
+                                    mesh::Answer{7, 200, "{}"},
+                                    mesh::Status{{{2, need}}},
+                                    mesh::Move{"m-1", -1},
+                                    mesh::Gone{{"m-3"}},
+                                    mesh::PledgeAsk{4, 3000},
+                                    mesh::Pledge{4, true}};
+  for (const auto& b : bodies) {
+    auto m = mesh::decode(mesh::encode({"n0", b}));
+    ASSERT_TRUE(m);
+    EXPECT_EQ(m->from, "n0");
+    EXPECT_EQ(m->body.index(), b.index());
+    EXPECT_EQ(mesh::encode(*m), mesh::encode({"n0", b}));
+  }
+}
+
+// Seeded malformed input: flipped and cut bytes are refused or read, never a crash.
+TEST(Malformed, MeshFramesAndJsonDoNoHarm) {
+  std::mt19937_64 random(7);
+  PartNeed need;
+  need.idle = {"m-1", "m-2", "m-3"};
+  const std::string frame = mesh::encode({"n0", mesh::Status{{{1, need}, {2, need}}}});
+  const std::string job = job_text();
+  int refused = 0;
+  for (int i = 0; i < 3000; ++i) {
+    std::string f = frame, j = job;
+    for (int k = 0; k < 3; ++k) {
+      f[random() % f.size()] = static_cast<char>(random());
+      j[random() % j.size()] = static_cast<char>(random());
+    }
+    if (i % 4 == 0) f.resize(random() % f.size());
+    if (!mesh::decode(f)) ++refused;
+    if (!codec::parse_job(j).spec) ++refused;
+    codec::parse_report(j);
+    codec::parse_events(j);
+  }
+  EXPECT_GT(refused, 1000);
+}
+
+}  // namespace
--- /dev/null
+++ b/tests/part_test.cc
@@ -0,0 +1,246 @@
+// The core alone: one part, told of reports and time.
+#include "core/part.h"
+
+#include <gtest/gtest.h>
+
+using namespace eiderreel;
+
+namespace {
+
+constexpr std::uint64_t kTerm = 10;
+const PartLimits kLimits{10000, 1000};
+
+struct PartTest : testing::Test {
+  Part part{0, kTerm, 0, kLimits, {{"red", 4, 12, 0, 0}, {"blue", 4, 12, 0, 0}}};
+  std::uint64_t tick = 0;
+
+  void SetUp() override {
+    MachineType box;
+    box.name = "box";
+    box.cpus = 8;
+    box.memory_gb = 64;
+    box.zones = {"a", "b"};
+    part.set_types({box});
+  }
+  static JobSpec job(const std::string& id, std::uint32_t tasks = 4, const char* team = "red") {
+    JobSpec s;
+    s.id = id;
+    s.team = team;
+    s.tasks = tasks;
+    s.cpus = 1;
+    s.spot = true;
+    return s;
+  }
+  Report report(const std::string& m, std::vector<TaskReport> tasks = {}, std::uint64_t term = 0,
+                std::uint64_t tenure = 1) {
+    Report r;
+    r.machine = m;
+    r.addr = "w-" + m;
+    r.type = "box";
+    r.zone = "a";
+    r.tenure = tenure;
+    r.tick = ++tick;
+    r.term = term ? term : part.term_of(m);
+    r.tasks = std::move(tasks);
+    return r;
+  }
+  static TaskReport task(const std::string& j, std::uint32_t i, std::uint64_t attempt,
+                         TaskPhase p = TaskPhase::running, Cause c = Cause::none) {
+    return {j, i, attempt, p, c};
+  }
+};
+
+// Invariant 5: after a takeover, older jobs wait for proof of every machine of the part; jobs
+// first accepted since then need not.
+TEST_F(PartTest, OlderJobsWaitForEveryMachineNewOnesDoNot) {
+  part.add_machine("m-1", 5, false, 0);
+  part.add_machine("m-2", 5, false, 0);
+  part.open_job(job("run-1"), 7, true, {});
+  part.on_report(report("m-1"), 100);
+  EXPECT_TRUE(part.place("m-1", 100).empty());
+  part.open_job(job("run-2"), 11, false, {});
+  auto starts = part.place("m-1", 150);
+  ASSERT_EQ(starts.size(), 4u);
+  EXPECT_EQ(starts[0].job, "run-2");
+  part.on_report(report("m-2"), 200);
+  starts = part.place("m-2", 200);
+  ASSERT_EQ(starts.size(), 4u);
+  EXPECT_EQ(starts[0].job, "run-1");
+}
+
+// A report sent before our term may be minutes late: it proves nothing.
+TEST_F(PartTest, AReportFromBeforeOurTermProvesNothing) {
+  part.add_machine("m-1", 5, false, 0);
+  part.open_job(job("run-1"), 7, true, {});
+  Answer a = part.on_report(report("m-1", {}, kTerm - 1), 100);
+  EXPECT_EQ(a.verdict, Verdict::ok);
+  EXPECT_EQ(a.term, kTerm);
+  EXPECT_TRUE(part.place("m-1", 100).empty());
+}
+
+TEST_F(PartTest, ATaskFoundAfterATakeoverIsNotStartedAgain) {
+  part.add_machine("m-1", 5, false, 0);
+  part.open_job(job("run-1", 2), 7, true, {});
+  part.on_report(report("m-1", {task("run-1", 0, 77)}), 100);
+  auto starts = part.place("m-1", 100);
+  ASSERT_EQ(starts.size(), 1u);
+  EXPECT_EQ(starts[0].index, 1u);
+}
+
+TEST_F(PartTest, ASilentMachineIsGoneOnlyAfterItsLease) {
+  part.add_machine("m-1", 12, true, 0);
+  part.add_machine("m-2", 12, true, 0);
+  part.open_job(job("run-1", 1), 11, false, {});
+  part.on_report(report("m-1"), 100);
+  ASSERT_EQ(part.place("m-1", 100).size(), 1u);
+  part.answered("m-1", 100);
+  part.on_report(report("m-2"), 9000);
+  part.answered("m-2", 9000);
+  EXPECT_TRUE(part.tick(10100).empty());
+  EXPECT_TRUE(part.place("m-2", 10100).empty());
+  EXPECT_EQ(part.tick(10400), std::vector<std::string>{"m-1"});
+  EXPECT_EQ(part.place("m-2", 10400).size(), 1u);
+  // A late report of the old tenure is not believed.
+  EXPECT_EQ(part.on_report(report("m-1", {task("run-1", 0, 1)}), 10500).verdict, Verdict::stale);
+}
+
+// Invariant 4: a launch is open until that tenure's next report shows or lacks it.
+TEST_F(PartTest, ALaunchThatTheNextReportLacksIsGivenAgain) {
+  part.add_machine("m-1", 12, true, 0);
+  part.open_job(job("run-1", 1), 11, false, {});
+  part.on_report(report("m-1"), 100);
+  auto first = part.place("m-1", 100);
+  ASSERT_EQ(first.size(), 1u);
+  EXPECT_TRUE(part.place("m-1", 150).empty());
+  part.on_report(report("m-1"), 200);
+  auto second = part.place("m-1", 200);
+  ASSERT_EQ(second.size(), 1u);
+  EXPECT_GT(second[0].attempt, first[0].attempt);
+}
+
+TEST_F(PartTest, RepeatedAndReorderedReportsAreHarmless) {
+  part.add_machine("m-1", 12, true, 0);
+  part.open_job(job("run-1", 1), 11, false, {});
+  Report old = report("m-1");
+  part.on_report(old, 100);
+  auto s = part.place("m-1", 100);
+  part.on_report(report("m-1", {task("run-1", 0, s[0].attempt)}), 200);
+  EXPECT_EQ(part.on_report(old, 300).verdict, Verdict::stale);
+  EXPECT_EQ(part.status("run-1")->running, 1u);
+}
+
+// Invariant 7: `clear` of a done task follows its durable record.
+TEST_F(PartTest, DoneTasksAreClearedOnlyOnceRecorded) {
+  part.add_machine("m-1", 12, true, 0);
+  part.open_job(job("run-1", 2), 11, false, {});
+  part.on_report(report("m-1"), 100);
+  auto s = part.place("m-1", 100);
+  auto done = [&] {
+    return report("m-1", {task("run-1", 0, s[0].attempt, TaskPhase::exited, Cause::done),
+                          task("run-1", 1, s[1].attempt)});
+  };
+  EXPECT_TRUE(part.on_report(done(), 200).orders.empty());
+  EXPECT_EQ(part.unrecorded("run-1"), std::vector<std::uint32_t>{0});
+  part.mark_recorded("run-1", {0});
+  auto a = part.on_report(done(), 300);
+  ASSERT_EQ(a.orders.size(), 1u);
+  EXPECT_EQ(a.orders[0].verb, Verb::clear);
+}
+
+TEST_F(PartTest, ACancelledJobIsKilledAndKeepsItsShareUntilGone) {
+  part.add_machine("m-1", 12, true, 0);
+  part.add_machine("m-2", 12, true, 0);
+  part.open_job(job("run-1", 8), 11, false, {});
+  part.on_report(report("m-1"), 100);
+  auto s = part.place("m-1", 100);
+  ASSERT_EQ(s.size(), 8u);
+  std::vector<TaskReport> running;
+  for (const auto& o : s) running.push_back(task("run-1", o.index, o.attempt));
+  part.on_report(report("m-1", running), 200);
+  part.close_job("run-1");
+  auto kills = part.take_kills();
+  ASSERT_EQ(kills.size(), 1u);
+  EXPECT_EQ(kills[0].orders.size(), 8u);
+  // The limit is 12: four more fit while the eight are not seen to be gone.
+  part.open_job(job("run-2", 8), 12, false, {});
+  part.on_report(report("m-2"), 300);
+  EXPECT_EQ(part.place("m-2", 300).size(), 4u);
+  part.on_report(report("m-1"), 400);
+  EXPECT_EQ(part.place("m-1", 400).size(), 4u);
+}
+
+// Until every machine has been heard of, what may run there counts against the limit.
+TEST_F(PartTest, UnheardMachinesCountAgainstTheLimit) {
+  part.add_machine("m-1", 5, false, 0);
+  part.add_machine("m-2", 5, false, 0);
+  part.open_job(job("run-2", 12), 11, false, {});
+  part.on_report(report("m-1"), 100);
+  EXPECT_EQ(part.place("m-1", 100).size(), 4u);  // 12 less the 8 of m-2
+}
+
+TEST_F(PartTest, GuaranteeFirstThenOldest) {
+  part.add_machine("m-1", 12, true, 0);
+  part.open_job(job("run-1", 8, "red"), 11, false, {});
+  part.open_job(job("run-2", 8, "blue"), 12, false, {});
+  part.on_report(report("m-1"), 100);
+  auto s = part.place("m-1", 100);
+  ASSERT_EQ(s.size(), 8u);
+  int red = 0;
+  for (const auto& o : s) red += o.job == "run-1";
+  EXPECT_EQ(red, 4);
+}
+
+TEST_F(PartTest, OneZoneAndApart) {
+  part.add_machine("m-1", 12, true, 0);
+  part.add_machine("m-2", 12, true, 0);
+  JobSpec apart = job("run-1", 5);
+  apart.spread = true;
+  part.open_job(apart, 11, false, {});
+  part.on_report(report("m-1"), 100);
+  EXPECT_EQ(part.place("m-1", 100).size(), 3u);
+  JobSpec one = job("run-2", 8, "blue");
+  one.one_zone = true;
+  part.open_job(one, 12, false, {});
+  EXPECT_EQ(part.place("m-1", 150).size(), 5u);
+  Report far = report("m-2");
+  far.zone = "b";
+  part.on_report(far, 200);
+  auto s = part.place("m-2", 200);
+  ASSERT_EQ(s.size(), 2u);
+  EXPECT_EQ(s[0].job, "run-1");
+}
+
+// Invariant 2: the term is the newest stamp of the part's or the machine's own key.
+TEST_F(PartTest, TermIsTheNewestStamp) {
+  part.add_machine("m-1", 5, false, 0);
+  part.add_machine("m-2", 15, true, 0);
+  EXPECT_EQ(part.term_of("m-1"), kTerm);
+  EXPECT_EQ(part.term_of("m-2"), 15u);
+  part.open_job(job("run-1", 1), 11, false, {});
+  part.on_report(report("m-2"), 100);
+  auto starts = part.place("m-2", 100);
+  ASSERT_EQ(starts.size(), 1u);
+  EXPECT_EQ(starts[0].attempt >> constants::kAttemptBits, 15u);
+}
+
+// A worker above our term has another owner.
+TEST_F(PartTest, AHigherTermIsNotAnswered) {
+  part.add_machine("m-1", 5, false, 0);
+  EXPECT_EQ(part.on_report(report("m-1", {}, kTerm + 1), 100).verdict, Verdict::stale);
+}
+
+// Invariant 3: only an idle machine is given away, and nothing starts on it from then on.
+TEST_F(PartTest, OnlyAnIdleMachineLeaves) {
+  part.add_machine("m-1", 12, true, 0);
+  part.open_job(job("run-1", 1), 11, false, {});
+  part.on_report(report("m-1"), 100);
+  ASSERT_EQ(part.place("m-1", 100).size(), 1u);
+  EXPECT_FALSE(part.begin_leave("m-1"));
+  part.on_report(report("m-1"), 200);  // the launch was dropped
+  EXPECT_TRUE(part.begin_leave("m-1"));
+  EXPECT_TRUE(part.place("m-1", 200).empty());
+  part.end_leave("m-1");
+  EXPECT_EQ(part.place("m-1", 250).size(), 1u);
+}
+
+}  // namespace
--- /dev/null
+++ b/tests/standin/world.cc
@@ -0,0 +1,853 @@
+#include "standin/world.h"
+
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+#include <spdlog/sinks/base_sink.h>
+#include <spdlog/spdlog.h>
+
+#include <cstdio>
+
+namespace eiderreel::standin {
+namespace {
+
+using rapidjson::Document;
+using rapidjson::Value;
+
+constexpr Ms kStep = 50;                   // ms; pace of the workers
+constexpr double kCpus = 8, kMemory = 64;  // of a machine
+constexpr double kFetch = 1.0;             // GB a second
+
+std::string text(const Value& v) {
+  rapidjson::StringBuffer b;
+  rapidjson::Writer<rapidjson::StringBuffer> w(b);
+  v.Accept(w);
+  return b.GetString();
+}
+
+std::string error(const char* what) { return std::string("{\"error\":\"") + what + "\"}"; }
+
+bool under(const std::string& s, const std::string& prefix) {
+  return s.compare(0, prefix.size(), prefix) == 0;
+}
+
+std::string query(const std::string& path, const std::string& name) {
+  auto q = path.find('?');
+  while (q != std::string::npos) {
+    auto end = path.find('&', q + 1);
+    auto part = path.substr(q + 1, end == std::string::npos ? end : end - q - 1);
+    if (under(part, name + "=")) return part.substr(name.size() + 1);
+    q = end;
+  }
+  return "";
+}
+
+// Log lines of the nodes become lines of the trace.
+class TraceSink : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+ public:
+  World* world = nullptr;
+  std::string node;
+
+ protected:
+  void sink_it_(const spdlog::details::log_msg& m) override {
+    if (world) world->note(node + " " + std::string(m.payload.data(), m.payload.size()));
+  }
+  void flush_() override {}
+};
+
+std::shared_ptr<TraceSink> sink() {
+  static auto s = [] {
+    auto made = std::make_shared<TraceSink>();
+    spdlog::set_default_logger(std::make_shared<spdlog::logger>("test", made));
+    return made;
+  }();
+  return s;
+}
+
+}  // namespace
+
+// One process's view of the world; it dies with the process, and what is late finds it gone.
+class World::NodeRuntime : public Runtime {
+ public:
+  NodeRuntime(World& w, std::size_t index, std::uint64_t life)
+      : w_(w), index_(index), life_(life), random_(w.o_.seed * 1000 + life * 10 + index) {}
+
+  // Each steady clock runs a little fast, each at its own rate.
+  Ms now() const override {
+    return static_cast<Ms>(static_cast<double>(w_.now_) *
+                           (1 + 0.0002 * static_cast<double>(index_)));
+  }
+  double random() override { return std::uniform_real_distribution<double>(0, 1)(random_); }
+  std::string boot_id() const override { return "b" + std::to_string(life_); }
+  void after(Ms delay, std::function<void()> f) override {
+    w_.schedule(w_.now_ + std::max<Ms>(delay, 1), guarded(std::move(f)));
+  }
+  void http(HttpRequest r, std::function<void(HttpReply)> done) override {
+    w_.call(name(), std::move(r), [this, alive = alive_, done = std::move(done)](HttpReply reply) {
+      if (!*alive) return;
+      sink()->node = name();
+      done(std::move(reply));
+    });
+  }
+  void send(const std::string& node, const std::string& bytes) override {
+    World* w = &w_;
+    w_.deliver(
+        name(), node,
+        [w, node, bytes] {
+          for (auto& p : w->procs_)
+            if (p.name == node && p.up) {
+              sink()->node = node;
+              p.node->frame(bytes);
+            }
+        },
+        [] {});
+  }
+  const std::string& name() const { return w_.procs_[index_].name; }
+  std::function<void()> guarded(std::function<void()> f) {
+    return [alive = alive_, name = name(), f = std::move(f)] {
+      if (!*alive) return;
+      sink()->node = name;
+      f();
+    };
+  }
+  void die() { *alive_ = false; }
+
+ private:
+  World& w_;
+  std::size_t index_;
+  std::uint64_t life_;
+  std::mt19937_64 random_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+World::World(Options o) : o_(o), checker_(o.teams, o.cancel_s), random_(o.seed) {
+  sink()->world = this;
+  for (int i = 0; i < o_.nodes; ++i) {
+    Proc p;
+    p.name = "n" + std::to_string(i);
+    Settings& s = p.settings;
+    s.node = p.name;
+    s.zone = i % 2 ? "b" : "a";
+    s.api_addr = p.name;
+    for (int k = 0; k < o_.nodes; ++k)
+      if (k != i) s.peers.push_back({"n" + std::to_string(k), "a", "n" + std::to_string(k)});
+    s.cloud_addr = "cloud";
+    s.state_addr = "state";
+    s.parts = o_.nodes;
+    s.zones = {"a", "b"};
+    s.teams = o_.teams;
+    s.report_s = o_.report_s;
+    s.lease_s = o_.lease_s;
+    s.cancel_s = o_.cancel_s;
+    s.state_rps = o_.state_rps;
+    s.state_write_rps = o_.state_write_rps;
+    procs_.push_back(std::move(p));
+  }
+  for (int i = 0; i < o_.machines; ++i) add_worker(i % 2 ? "b" : "a", false, 0);
+  for (std::size_t i = 0; i < procs_.size(); ++i)
+    schedule(static_cast<Ms>(10 + 10 * i), [this, i] { start_node(i); });
+  schedule(kStep, [this] { tick_workers(); });
+}
+
+World::~World() {
+  for (auto& p : procs_)
+    if (p.runtime) p.runtime->die();
+  sink()->world = nullptr;
+}
+
+void World::note(const std::string& line) {
+  char head[32];
+  std::snprintf(head, sizeof head, "%8.3f ", now());
+  trace_.push_back(head + line);
+}
+
+// --------------------------------------------------------------------- time and network
+
+void World::schedule(Ms t, std::function<void()> f) {
+  events_[{std::max(t, now_), ++order_}] = std::move(f);
+}
+
+void World::at(double t, std::function<void()> f) {
+  schedule(static_cast<Ms>(t * 1000), std::move(f));
+}
+
+void World::run_until(double t) {
+  const Ms end = static_cast<Ms>(t * 1000);
+  while (!events_.empty() && events_.begin()->first.first <= end) {
+    auto it = events_.begin();
+    now_ = it->first.first;
+    auto f = std::move(it->second);
+    events_.erase(it);
+    f();
+  }
+  now_ = end;
+}
+
+Ms World::latency() { return 1 + static_cast<Ms>(random_() % 4); }
+
+const CutMode* World::cut_between(const std::string& a, const std::string& b) const {
+  auto in = [](const std::set<std::string>& s, const std::string& n) {
+    return s.count("*") > 0 || s.count(n) > 0;
+  };
+  for (const auto& c : cuts_)
+    if ((in(c.a, a) && in(c.b, b)) || (in(c.a, b) && in(c.b, a))) return &c.mode;
+  return nullptr;
+}
+
+void World::deliver(const std::string& from, const std::string& to, std::function<void()> f,
+                    std::function<void()> reset) {
+  const CutMode* cut = cut_between(from, to);
+  if (!cut) return schedule(now_ + latency(), std::move(f));
+  if (*cut == CutMode::hold) return held_.push_back({from, to, std::move(f)});
+  schedule(now_ + 1, std::move(reset));
+}
+
+void World::cut(std::set<std::string> a, std::set<std::string> b, CutMode mode) {
+  note("world cut");
+  cuts_.push_back({std::move(a), std::move(b), mode});
+}
+
+// What was held now arrives, in order, however late.
+void World::heal() {
+  note("world healed");
+  cuts_.clear();
+  auto held = std::move(held_);
+  held_.clear();
+  for (auto& h : held) schedule(now_ + latency(), std::move(h.f));
+}
+
+void World::call(const std::string& from, HttpRequest r, Done done) {
+  auto finished = std::make_shared<bool>(false);
+  auto finish = [finished, done = std::move(done)](HttpReply reply) {
+    if (*finished) return;
+    *finished = true;
+    done(std::move(reply));
+  };
+  schedule(now_ + r.timeout, [finish] { finish({}); });
+  const std::string to = r.addr;
+  auto reset = [finish] { finish({}); };
+  deliver(
+      from, to,
+      [this, from, to, r, finish, reset] {
+        Done back = [this, from, to, finish, reset](HttpReply reply) {
+          deliver(
+              to, from, [finish, reply] { finish(reply); }, reset);
+        };
+        if (to == "state") return serve_state(from, r, std::move(back));
+        if (to == "cloud") return serve_cloud(r, std::move(back));
+        for (auto& p : procs_)
+          if (p.name == to) {
+            if (!p.up) return back({});
+            sink()->node = p.name;
+            p.node->request(r.method, r.path, r.body, [back](int status, std::string body) {
+              back({status, body});
+            });
+            return;
+          }
+        for (auto& [id, w] : workers_)
+          if (w->addr == to) return serve_worker(*w, r, std::move(back));
+      },
+      reset);
+}
+
+// ------------------------------------------------------------------------------- nodes
+
+void World::start_node(std::size_t i) {
+  Proc& p = procs_[i];
+  ++p.life;
+  p.runtime = std::make_unique<NodeRuntime>(*this, i, p.life);
+  p.node = std::make_unique<Node>(*p.runtime, p.settings);
+  p.up = true;
+  sink()->node = p.name;
+  note(p.name + " starts");
+  p.node->start();
+  auto tick = std::make_shared<std::function<void()>>();
+  *tick = p.runtime->guarded([this, i, weak = std::weak_ptr(tick)] {
+    procs_[i].node->tick();
+    if (auto self = weak.lock()) schedule(now_ + constants::kTickMs, [self] { (*self)(); });
+  });
+  schedule(now_ + constants::kTickMs, [tick] { (*tick)(); });
+}
+
+void World::crash(int node, double back_after_s) {
+  const auto i = static_cast<std::size_t>(node);
+  Proc& p = procs_[i];
+  if (!p.up) return;
+  note(p.name + " crashes");
+  p.up = false;
+  p.runtime->die();
+  p.node.reset();
+  p.runtime.reset();
+  schedule(now_ + static_cast<Ms>(back_after_s * 1000), [this, i] { start_node(i); });
+}
+
+int World::owner_of(int part) const {
+  auto it = rows_.find("e/part/" + std::to_string(part));
+  if (it == rows_.end()) return -1;
+  Document d;
+  d.Parse(it->second.value.c_str());
+  return std::atoi(d["owner"].GetString() + 1);
+}
+
+// ----------------------------------------------------------------------- state service
+
+void World::state_outage(bool on) {
+  note(on ? "state outage" : "state is back");
+  state_down_ = on;
+  if (!on)
+    for (auto& [id, g] : grants_) g.ends = now_ + g.life;  // every grant has its full time again
+}
+
+void World::state_refuses(int node, bool on) {
+  note("state " + std::string(on ? "refuses" : "serves") + " n" + std::to_string(node));
+  if (on)
+    refused_.insert("n" + std::to_string(node));
+  else
+    refused_.erase("n" + std::to_string(node));
+}
+
+void World::end_grants() {
+  if (state_down_) return;
+  for (auto it = grants_.begin(); it != grants_.end();) {
+    if (it->second.ends > now_) {
+      ++it;
+      continue;
+    }
+    const std::uint64_t id = it->first;
+    it = grants_.erase(it);
+    ++ledger_;
+    std::vector<std::string> keys;
+    for (const auto& [key, row] : rows_)
+      if (row.tether == id) keys.push_back(key);
+    for (const auto& key : keys) change(key, nullptr, 0);
+  }
+  wake_watches();
+}
+
+void World::change(const std::string& key, const std::string* value, std::uint64_t tether) {
+  if (value)
+    rows_[key] = {*value, ledger_, tether};
+  else
+    rows_.erase(key);
+  changes_.push_back({ledger_, key, value ? *value : "", value == nullptr});
+}
+
+HttpReply World::follow_now(const std::string& prefix, std::uint64_t since) const {
+  std::string events;
+  for (const auto& c : changes_) {
+    if (c.ledger <= since || !under(c.key, prefix)) continue;
+    if (!events.empty()) events += ",";
+    const std::string stamp = ",\"stamp\":" + std::to_string(c.ledger) + "}";
+    events += c.deleted ? "{\"delete\":\"" + c.key + "\"" + stamp
+                        : "{\"write\":\"" + c.key + "\",\"v\":" + c.value + stamp;
+  }
+  if (events.empty()) return {};
+  return {200, "{\"ledger\":" + std::to_string(ledger_) + ",\"events\":[" + events + "]}"};
+}
+
+void World::wake_watches() {
+  if (state_down_) return;
+  std::erase_if(watches_, [](const auto& w) { return w->answered; });
+  for (auto& w : std::vector(watches_)) {
+    HttpReply r = follow_now(w->prefix, w->since);
+    if (r.status == 0) continue;
+    w->answered = true;
+    w->reply(r);
+  }
+}
+
+HttpReply World::state_commit(const std::string& body) {
+  Document d;
+  d.Parse(body.c_str());
+  std::string failed;
+  for (const auto& g : d["guards"].GetArray()) {
+    auto it = rows_.find(g["key"].GetString());
+    const std::uint64_t stamp = it == rows_.end() ? 0 : it->second.stamp;
+    if (stamp == g["stamp"].GetUint64()) continue;
+    failed += (failed.empty() ? "\"" : ",\"") + std::string(g["key"].GetString()) + "\"";
+  }
+  for (const auto& w : d["writes"].GetArray())
+    if (w.HasMember("tether") && !grants_.count(w["tether"].GetUint64()))
+      return {400, error("no such lease")};
+  const std::string ledger = "\"ledger\":";
+  if (!failed.empty())
+    return {409, "{\"failed\":[" + failed + "]," + ledger + std::to_string(ledger_) + "}"};
+  ++ledger_;
+  for (const auto& w : d["writes"].GetArray()) {
+    if (w.HasMember("delete")) {
+      if (rows_.count(w["delete"].GetString())) change(w["delete"].GetString(), nullptr, 0);
+    } else {
+      const std::string value = text(w["v"]);
+      change(w["write"].GetString(), &value, w.HasMember("tether") ? w["tether"].GetUint64() : 0);
+    }
+  }
+  HttpReply r{200, "{" + ledger + std::to_string(ledger_) + "}"};
+  wake_watches();
+  return r;
+}
+
+void World::serve_state(const std::string& from, const HttpRequest& r, Done done) {
+  const bool down = state_down_ || refused_.count(from) > 0;
+  if (down) return done({503, error("outage")});
+  if (r.path == "/commit") return done(state_commit(r.body));
+  if (r.path == "/grants") {
+    Document d;
+    d.Parse(r.body.c_str());
+    const Ms life = d["life_ms"].GetInt64();
+    grants_[++next_grant_] = {life, now_ + life};
+    return done({200, "{\"tether\":" + std::to_string(next_grant_) + "}"});
+  }
+  if (under(r.path, "/grants/")) {
+    const std::uint64_t id = std::stoull(r.path.substr(8));
+    auto it = grants_.find(id);
+    if (it == grants_.end()) return done({404, "{}"});
+    it->second.ends = r.method == "DELETE" ? now_ : now_ + it->second.life;
+    if (r.method == "DELETE") end_grants();
+    return done({200, "{\"tether\":" + std::to_string(id) + "}"});
+  }
+  if (under(r.path, "/follow")) {
+    auto w = std::make_shared<Watch>();
+    w->prefix = query(r.path, "prefix");
+    w->since = std::stoull(query(r.path, "since"));
+    w->reply = done;
+    if (HttpReply now = follow_now(w->prefix, w->since); now.status) return done(now);
+    watches_.push_back(w);
+    schedule(now_ + std::stoll(query(r.path, "wait_ms")), [this, w] {
+      // During an outage, and while one node is refused, open watches stay open.
+      if (w->answered || state_down_) return;
+      w->answered = true;
+      w->reply({200, "{\"ledger\":" + std::to_string(ledger_) + ",\"events\":[]}"});
+    });
+    return;
+  }
+  if (under(r.path, "/kv?")) {
+    const std::string prefix = query(r.path, "prefix"), since = query(r.path, "since");
+    std::size_t page = std::stoul(query(r.path, "page"));
+    std::string rows;
+    bool more = false;
+    for (auto it = since.empty() ? rows_.lower_bound(prefix) : rows_.upper_bound(since);
+         it != rows_.end() && under(it->first, prefix); ++it) {
+      if (page-- == 0) {
+        more = true;
+        break;
+      }
+      rows +=
+          (rows.empty() ? "" : ",") + ("{\"key\":\"" + it->first + "\",\"v\":" + it->second.value +
+                                       ",\"stamp\":" + std::to_string(it->second.stamp) + "}");
+    }
+    return done({200, "{\"rows\":[" + rows + "],\"more\":" + (more ? "true" : "false") +
+                          ",\"ledger\":" + std::to_string(ledger_) + "}"});
+  }
+  auto it = rows_.find(r.path.substr(4));
+  if (it == rows_.end()) return done({404, "{\"ledger\":" + std::to_string(ledger_) + "}"});
+  done({200, "{\"key\":\"" + it->first + "\",\"v\":" + it->second.value +
+                 ",\"stamp\":" + std::to_string(it->second.stamp) + "}"});
+}
+
+// -------------------------------------------------------------------------------- cloud
+
+World::Worker& World::add_worker(const std::string& zone, bool spot, double boot_s) {
+  auto w = std::make_unique<Worker>();
+  char id[16];
+  std::snprintf(id, sizeof id, "m-%06llu", static_cast<unsigned long long>(next_machine_++));
+  w->id = id;
+  w->addr = std::string("w-") + id;
+  w->zone = zone;
+  w->spot = spot;
+  w->rented_at = now();
+  w->up_at = stuck_boots_ ? 1e9 : now() + boot_s;
+  w->node = static_cast<int>(next_machine_ % static_cast<std::uint64_t>(o_.nodes));
+  return *(workers_[id] = std::move(w));
+}
+
+void World::serve_cloud(const HttpRequest& r, Done done) {
+  if (cloud_down_) return done({503, error("trouble")});
+  if (r.path == "/catalog")
+    return done({200,
+                 "{\"hulls\":[{\"name\":\"box\",\"cores\":8.0,\"accelerators\":0,\"mem_gb\":64.0,"
+                 "\"cache_gb\":50.0,\"fetch_gb_per_s\":1.0,\"price\":1.0,\"market_price\":0.4,"
+                 "\"ready_s\":6.0,\"berths\":[\"a\",\"b\"]}]}"});
+  if (r.path == "/machines") {
+    Document d;
+    d.Parse(r.body.c_str());
+    const std::string charter = d["charter"].GetString();
+    const std::string zone = d["berth"].GetString();
+    const bool spot = d["driftwood"].GetBool();
+    auto known = charter_answers_.find(charter);
+    if (known == charter_answers_.end()) {
+      charters_.insert(charter);
+      int here = 0;
+      for (const auto& [id, w] : workers_)
+        if (w->zone == zone && w->spot == spot && !w->gone) ++here;
+      const int base = spot ? 0 : (o_.machines + 1) / 2;
+      int room = no_capacity_ ? 0 : base + o_.capacity - here;
+      if (room <= 0) return done({503, error("no capacity")});
+      std::vector<std::string> ids;
+      for (int n = d["how_many"].GetInt(); n > 0 && room > 0; --n, --room)
+        ids.push_back(add_worker(zone, spot, o_.boot_s).id);
+      known = charter_answers_.emplace(charter, ids).first;
+    }
+    std::string ids;
+    for (const auto& id : known->second) ids += (ids.empty() ? "\"" : ",\"") + id + "\"";
+    return done({200, "{\"hosts\":[" + ids + "]}"});
+  }
+  if (r.path == "/machines/return") {
+    Document d;
+    d.Parse(r.body.c_str());
+    for (const auto& id : d["hosts"].GetArray())
+      if (auto it = workers_.find(id.GetString()); it != workers_.end() && !it->second->gone)
+        lose(*it->second, "returned");
+    return done({200, "{}"});
+  }
+  std::string rows;
+  for (const auto& [id, w] : workers_) {
+    if (w->gone) continue;
+    rows += (rows.empty() ? "" : ",") +
+            ("{\"name_id\":\"" + id + "\",\"endpoint\":\"" + w->addr +
+             "\",\"hull\":\"box\",\"berth\":\"" + w->zone +
+             "\",\"driftwood\":" + (w->spot ? "true" : "false") + ",\"phase\":\"" +
+             (w->stopped ? "failed"
+              : w->up    ? "running"
+                         : "starting") +
+             "\",\"held_s\":" + std::to_string(now() - w->rented_at) + "}");
+  }
+  done({200, "{\"hosts\":[" + rows + "],\"more\":false}"});
+}
+
+// ------------------------------------------------------------------------------ workers
+
+void World::lose(Worker& w, const char* why) {
+  note(w.id + " is " + why);
+  for (auto& [key, t] : w.tasks)
+    if (t.phase == "running") checker_.task_off(w.id, key.first, key.second);
+  w.tasks.clear();
+  w.gone = true;
+  w.up = false;
+}
+
+void World::kill_machine(const std::string& id) {
+  Worker& w = *workers_.at(id);
+  lose(w, "dead");
+  w.gone = false;  // listed for a while
+  w.stopped = true;
+}
+
+void World::take_machine(const std::string& id, double notice_s) {
+  Worker& w = *workers_.at(id);
+  w.taken_at = now() + notice_s;
+  w.changed = true;
+  if (notice_s <= 0) lose(w, "taken");
+}
+
+void World::freeze_machine(const std::string& id, bool on) {
+  note(id + (on ? " hangs" : " goes on"));
+  workers_.at(id)->frozen = on;
+}
+
+void World::set_sick(const std::string& id, bool on) { workers_.at(id)->sick = on; }
+
+void World::end_task(Worker& w, const TaskKey& key, Task& t, const std::string& cause) {
+  if (t.phase == "running") checker_.task_off(w.id, key.first, key.second);
+  t.phase = "exited";
+  t.cause = cause;
+  w.changed = true;
+}
+
+void World::end_lease(Worker& w) {
+  if (!w.tasks.empty()) note(w.id + " lease over");
+  for (auto& [key, t] : w.tasks)
+    if (t.phase == "running") checker_.task_off(w.id, key.first, key.second);
+  w.tasks.clear();
+  ++w.tenure;
+  w.lease_from = now_;
+  w.changed = true;
+}
+
+void World::tick_workers() {
+  schedule(now_ + kStep, [this] { tick_workers(); });
+  end_grants();
+  checker_.look(now());
+  for (auto& [id, pw] : workers_) {
+    Worker& w = *pw;
+    if (!w.up && !w.gone && !w.stopped && now() >= w.up_at) {
+      w.up = true;
+      w.lease_from = now_;
+      w.next_report = now_ + static_cast<Ms>(random_() % 500);
+    }
+    if (!w.up) continue;
+    // A hanging machine may go on within its lease; after it, its tasks are gone.
+    if (w.frozen) {
+      if (now_ - w.lease_from > static_cast<Ms>(o_.lease_s * 1000) && !w.tasks.empty())
+        end_lease(w);
+      continue;
+    }
+    if (w.taken_at >= 0 && now() >= w.taken_at) {
+      lose(w, "taken");
+      continue;
+    }
+    if (now_ - w.lease_from > static_cast<Ms>(o_.lease_s * 1000)) end_lease(w);
+    for (auto& [key, t] : w.tasks) {
+      if (t.phase == "exited") continue;
+      t.left_s -= kStep / 1000.0;
+      if (t.left_s > 0) continue;
+      const JobSpec& s = specs_[key.first];
+      if (t.phase == "pulling") {
+        w.images.insert(s.image);
+        t.phase = "running";
+        t.left_s = w.sick || failing_jobs_.count(key.first) ? 0.3
+                   : s.kind == Kind::service                ? 1e9
+                                                            : run_s_[key.first];
+        note(w.id + " runs " + key.first + "/" + std::to_string(key.second));
+        checker_.task_on(now(), {w.id, "box", w.zone, w.spot}, key.first, key.second);
+        w.changed = true;
+      } else {
+        const bool bad = w.sick || failing_jobs_.count(key.first) > 0;
+        if (!bad) checker_.task_done(key.first, key.second);
+        end_task(w, key, t, bad ? "error" : "done");
+      }
+    }
+    if (w.in_flight) continue;
+    if (now_ >= w.next_report || (w.changed && now_ - w.last_sent >= 500)) send_report(w);
+  }
+}
+
+std::string World::report_body(Worker& w) {
+  ++w.tick;
+  std::string tasks;
+  for (const auto& [key, t] : w.tasks) {
+    tasks += (tasks.empty() ? "" : ",") +
+             ("{\"shard\":\"" + key.first + "/" + std::to_string(key.second) +
+              "\",\"try\":" + std::to_string(t.attempt) + ",\"phase\":\"" + t.phase + "\"" +
+              (t.cause.empty() ? "" : ",\"cause\":\"" + t.cause + "\"") + "}");
+  }
+  const std::string notice =
+      w.taken_at >= 0 ? std::to_string(std::max(0.0, w.taken_at - now())) : "null";
+  return "{\"host\":\"" + w.id + "\",\"endpoint\":\"" + w.addr +
+         "\",\"hull\":\"box\",\"berth\":\"" + w.zone +
+         "\",\"driftwood\":" + (w.spot ? "true" : "false") +
+         ",\"tenure\":" + std::to_string(w.tenure) + ",\"tick\":" + std::to_string(w.tick) +
+         ",\"epoch\":" + std::to_string(w.epoch) + ",\"warning_s\":" + notice + ",\"shards\":[" +
+         tasks + "]}";
+}
+
+void World::send_report(Worker& w) {
+  w.in_flight = true;
+  w.changed = false;
+  w.last_sent = now_;
+  const double jitter = 0.75 + 0.5 * static_cast<double>(random_() % 1000) / 1000.0;
+  w.next_report = now_ + static_cast<Ms>(o_.report_s * 1000 * jitter);
+  const std::uint64_t tenure = w.tenure, flight = ++w.flight;
+  const int node = w.node;
+  const Ms sent = now_;
+  const std::string id = w.id;
+  call(w.addr, {"n" + std::to_string(node), "POST", "/v1/report", report_body(w), 4000},
+       [this, id, sent, tenure, node, flight](HttpReply r) {
+         Worker& worker = *workers_.at(id);
+         if (worker.gone || worker.stopped || worker.flight != flight) return;
+         worker.in_flight = false;
+         take_answer(worker, sent, tenure, r, node);
+       });
+}
+
+void World::take_answer(Worker& w, Ms sent, std::uint64_t tenure, const HttpReply& r, int node) {
+  if (w.frozen) return;
+  if (r.status == 421 && r.body.find("upstream") != std::string::npos) {
+    Document d;
+    d.Parse(r.body.c_str());
+    const int to = std::atoi(d["upstream"].GetString() + 1);
+    if (to != node) {
+      w.node = to;
+      w.next_report = now_ + 100;
+      return;
+    }
+  }
+  if (r.status != 200) {
+    w.node = (node + 1) % o_.nodes;
+    w.next_report = now_ + 1000;
+    return;
+  }
+  Document d;
+  d.Parse(r.body.c_str());
+  if (tenure != w.tenure || d["epoch"].GetUint64() < w.epoch) return;
+  w.lease_from = sent;
+  if (d["epoch"].GetUint64() > w.epoch) {
+    w.epoch = d["epoch"].GetUint64();
+    w.changed = true;
+  }
+  obey(w, r.body);
+}
+
+void World::obey(Worker& w, const std::string& body) {
+  Document d;
+  d.Parse(body.c_str());
+  for (const auto& o : d["orders"].GetArray()) {
+    const std::string verb = o["verb"].GetString(), name = o["shard"].GetString();
+    const auto slash = name.rfind('/');
+    const TaskKey key{name.substr(0, slash),
+                      static_cast<std::uint32_t>(std::stoul(name.substr(slash + 1)))};
+    const std::uint64_t attempt = o["try"].GetUint64();
+    auto it = w.tasks.find(key);
+    if (verb == "launch") {
+      if (it != w.tasks.end() && it->second.attempt == attempt) continue;
+      w.changed = true;
+      const JobSpec& s = specs_[key.first];
+      double used = 0;
+      for (const auto& [k, t] : w.tasks)
+        if (t.phase != "exited") used += specs_[k.first].cpus;
+      if (it != w.tasks.end() && it->second.phase != "exited") {
+        note(w.id + " refuses " + name + " busy");
+        continue;
+      }
+      const bool room = used + s.cpus <= kCpus + 1e-9;
+      if (!room) note(w.id + " refuses " + name + " no_room");
+      const bool cached = w.images.count(s.image) > 0;
+      w.tasks[key] = room ? Task{attempt, "pulling", "", cached ? 0.0 : s.image_gb / kFetch}
+                          : Task{attempt, "exited", "no_room", 0};
+    } else if (it == w.tasks.end() || it->second.attempt != attempt) {
+      continue;
+    } else if (verb == "kill") {
+      if (it->second.phase != "exited") end_task(w, key, it->second, "stopped");
+    } else if (it->second.phase == "exited") {
+      w.tasks.erase(it);
+      w.changed = true;
+    }
+  }
+}
+
+void World::serve_worker(Worker& w, const HttpRequest& r, Done done) {
+  if (!w.up || w.frozen) return;  // hangs
+  if (r.path == "/inspect") return done({200, report_body(w)});
+  Document d;
+  d.Parse(r.body.c_str());
+  if (d["epoch"].GetUint64() < w.epoch || d["tenure"].GetUint64() != w.tenure)
+    return done({409, report_body(w)});
+  if (d["epoch"].GetUint64() > w.epoch) {
+    w.epoch = d["epoch"].GetUint64();
+    w.changed = true;
+  }
+  obey(w, r.body);
+  done({200, report_body(w)});
+}
+
+std::size_t World::tasks_on(const std::string& job) const {
+  std::size_t n = 0;
+  for (const auto& [id, w] : workers_)
+    for (const auto& [key, t] : w->tasks) n += key.first == job && t.phase == "running";
+  return n;
+}
+
+std::vector<std::string> World::machines_of(const std::string& job) const {
+  std::vector<std::string> out;
+  for (const auto& [id, w] : workers_)
+    for (const auto& [key, t] : w->tasks)
+      if (key.first == job && t.phase == "running") out.push_back(id);
+  return out;
+}
+
+std::size_t World::machines_up() const {
+  std::size_t n = 0;
+  for (const auto& [id, w] : workers_) n += w->up && !w->gone;
+  return n;
+}
+
+// -------------------------------------------------------------------------------- users
+
+JobSpec World::job(const std::string& id, const std::string& team, std::uint32_t tasks, double cpus,
+                   double run_s) {
+  JobSpec s;
+  s.id = id;
+  s.jobclass = "test";
+  s.team = team;
+  s.tasks = tasks;
+  s.cpus = cpus;
+  s.memory_gb = 1;
+  s.image = "img";
+  s.image_gb = 0.5;
+  s.spot = true;
+  s.estimate_s = run_s;
+  run_s_[id] = run_s;
+  return s;
+}
+
+int World::pick_node() {
+  next_node_ = (next_node_ + 1) % o_.nodes;
+  return next_node_;
+}
+
+void World::raw(int node, const std::string& method, const std::string& path,
+                const std::string& body, std::function<void(int, std::string)> done) {
+  call("user", {"n" + std::to_string(node), method, path, body, 5000},
+       [done = std::move(done)](HttpReply r) { done(r.status, r.body); });
+}
+
+void World::submit(const JobSpec& spec) {
+  specs_[spec.id] = spec;
+  checker_.submitted(spec);
+  try_submit(spec, now() + 60);
+}
+
+void World::try_submit(const JobSpec& spec, double until) {
+  raw(pick_node(), "POST", "/v1/jobs", codec::encode(spec, "user"),
+      [this, spec, until](int status, const std::string&) {
+        checker_.submit_answer(now(), spec.id, status);
+        if (status == 200 || status == 201) {
+          note("user " + spec.id + " accepted");
+          told_[spec.id] = "queued";
+          return poll_loop(spec.id);
+        }
+        if (status == 400 || status == 422) return note("user " + spec.id + " refused");
+        if (now() < until) at(now() + 1, [this, spec, until] { try_submit(spec, until); });
+      });
+}
+
+void World::poll_once(int node, const std::string& id, std::function<void(int, std::string)> done) {
+  raw(node, "GET", "/v1/jobs/" + id, "", [this, id, done](int status, const std::string& body) {
+    std::string phase;
+    if (status == 200) {
+      Document d;
+      d.Parse(body.c_str());
+      phase = d["phase"].GetString();
+    }
+    if (status == 200 || status == 404) checker_.told(now(), id, phase);
+    if (status == 200 && told_[id] != phase) {
+      note("user " + id + " " + phase);
+      told_[id] = phase;
+    }
+    done(status, phase);
+  });
+}
+
+void World::poll_loop(const std::string& id) {
+  at(now() + 2, [this, id] {
+    poll_once(pick_node(), id, [this, id](int, const std::string& phase) {
+      if (phase != "done" && phase != "cancelled") poll_loop(id);
+    });
+  });
+}
+
+void World::cancel(const std::string& id) {
+  checker_.cancel_asked(id);
+  try_cancel(id, 60);
+}
+
+void World::try_cancel(const std::string& id, int n) {
+  raw(pick_node(), "POST", "/v1/jobs/" + id + "/cancel", "",
+      [this, id, n](int status, const std::string& body) {
+        if (status == 200) {
+          Document d;
+          d.Parse(body.c_str());
+          checker_.told(now(), id, d["phase"].GetString());
+          note("user " + id + " cancel says " + d["phase"].GetString());
+          told_[id] = d["phase"].GetString();
+        } else if (n > 0) {
+          at(now() + 1, [this, id, n] { try_cancel(id, n - 1); });
+        }
+      });
+}
+
+std::string World::phase(const std::string& id) const {
+  auto it = told_.find(id);
+  return it == told_.end() ? "" : it->second;
+}
+
+}  // namespace eiderreel::standin
--- /dev/null
+++ b/tests/standin/world.h
@@ -0,0 +1,200 @@
+// A stand-in for all that the service deals with, written from the published protocol: state
+// service, cloud, workers, users and the network between them, in simulated time. The same seed
+// gives the same world; nothing here looks at a clock.
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "actors/node.h"
+#include "standin/checker.h"
+
+namespace eiderreel::standin {
+
+enum class CutMode { hold, reset };
+
+struct Options {
+  std::uint64_t seed = 1;
+  int nodes = 3;
+  double report_s = 1, lease_s = 10, cancel_s = 40;
+  double state_rps = 200, state_write_rps = 100;
+  std::vector<Team> teams = {{"red", 16, 48, 0, 0}, {"blue", 16, 48, 0, 0}, {"gold", 16, 48, 0, 0}};
+  int machines = 6;  // of 8 CPUs, up from the start
+  int capacity = 4;  // further ones for rent, of each kind in each zone
+  double boot_s = 6;
+};
+
+class World {
+ public:
+  explicit World(Options o);
+  ~World();
+
+  // --- a day's script ---
+  void at(double t, std::function<void()> f);
+  void run_until(double t);
+  double now() const { return now_ / 1000.0; }
+
+  // --- users ---
+  JobSpec job(const std::string& id, const std::string& team, std::uint32_t tasks, double cpus = 1,
+              double run_s = 5);
+  void submit(const JobSpec& spec);
+  void cancel(const std::string& id);
+  void poll_once(int node, const std::string& id, std::function<void(int, std::string)> done);
+  // What users have last been told; empty: nothing.
+  std::string phase(const std::string& id) const;
+  // One raw request to a node, for answers a user would see.
+  void raw(int node, const std::string& method, const std::string& path, const std::string& body,
+           std::function<void(int, std::string)> done);
+
+  // --- troubles ---
+  void crash(int node, double back_after_s = 4);
+  void cut(std::set<std::string> a, std::set<std::string> b, CutMode mode);
+  void heal();
+  void state_outage(bool on);             // 503 for all
+  void state_refuses(int node, bool on);  // 503 for one node
+  void cloud_outage(bool on) { cloud_down_ = on; }
+  void kill_machine(const std::string& id);  // stops, with all that is on it
+  void take_machine(const std::string& id, double notice_s);
+  void freeze_machine(const std::string& id, bool on);
+  void set_sick(const std::string& id, bool on);
+  void set_failing(const std::string& job) { failing_jobs_.insert(job); }
+  void no_capacity(bool on) { no_capacity_ = on; }
+  void stuck_boots(bool on) { stuck_boots_ = on; }
+
+  // --- what came of it ---
+  Checker& checker() { return checker_; }
+  const std::vector<std::string>& trace() const { return trace_; }
+  Node* node(int i) { return procs_[static_cast<std::size_t>(i)].node.get(); }
+  int owner_of(int part) const;
+  std::size_t tasks_on(const std::string& job) const;
+  std::vector<std::string> machines_of(const std::string& job) const;
+  std::size_t machines_up() const;
+  const std::set<std::string>& charters() const { return charters_; }
+  void note(const std::string& line);
+  static std::string all() { return "*"; }
+
+ private:
+  class NodeRuntime;
+  struct Proc {
+    std::string name;
+    Settings settings;
+    std::unique_ptr<NodeRuntime> runtime;
+    std::unique_ptr<Node> node;
+    std::uint64_t life = 0;
+    bool up = false;
+  };
+  struct Row {
+    std::string value;
+    std::uint64_t stamp = 0, tether = 0;
+  };
+  struct Change {
+    std::uint64_t ledger;
+    std::string key, value;
+    bool deleted;
+  };
+  struct Grant {
+    Ms life = 0, ends = 0;
+  };
+  struct Watch {
+    std::string prefix;
+    std::uint64_t since;
+    std::function<void(HttpReply)> reply;
+    bool answered = false;
+  };
+  struct Task {
+    std::uint64_t attempt = 0;
+    std::string phase, cause;
+    double left_s = 0;
+  };
+  using TaskKey = std::pair<std::string, std::uint32_t>;
+  struct Worker {
+    std::string id, addr, zone;
+    bool spot = false;
+    bool up = false, gone = false, frozen = false, sick = false, stopped = false;
+    double rented_at = 0, up_at = 0, taken_at = -1;
+    std::uint64_t tenure = 1, tick = 0, epoch = 0;
+    std::map<TaskKey, Task> tasks;
+    std::set<std::string> images;
+    int node = 0;
+    Ms next_report = 0, last_sent = -100000, lease_from = 0;
+    bool in_flight = false, changed = false;
+    std::uint64_t flight = 0;
+  };
+
+  using Done = std::function<void(HttpReply)>;
+  void schedule(Ms t, std::function<void()> f);
+  void deliver(const std::string& from, const std::string& to, std::function<void()> f,
+               std::function<void()> reset);
+  const CutMode* cut_between(const std::string& a, const std::string& b) const;
+  void call(const std::string& from, HttpRequest r, Done done);
+  void serve_state(const std::string& from, const HttpRequest& r, Done done);
+  void serve_cloud(const HttpRequest& r, Done done);
+  void serve_worker(Worker& w, const HttpRequest& r, Done done);
+  HttpReply state_commit(const std::string& body);
+  void change(const std::string& key, const std::string* value, std::uint64_t tether);
+  void wake_watches();
+  HttpReply follow_now(const std::string& prefix, std::uint64_t since) const;
+  void end_grants();
+  void start_node(std::size_t i);
+  void tick_workers();
+  void send_report(Worker& w);
+  void take_answer(Worker& w, Ms sent, std::uint64_t tenure, const HttpReply& r, int node);
+  void obey(Worker& w, const std::string& body);
+  void end_task(Worker& w, const TaskKey& key, Task& t, const std::string& cause);
+  void end_lease(Worker& w);
+  void lose(Worker& w, const char* why);
+  std::string report_body(Worker& w);
+  Worker& add_worker(const std::string& zone, bool spot, double boot_s);
+  void try_submit(const JobSpec& spec, double until);
+  void try_cancel(const std::string& id, int n);
+  void poll_loop(const std::string& id);
+  int pick_node();
+  Ms latency();
+
+  Options o_;
+  Checker checker_;
+  Ms now_ = 0;
+  std::uint64_t order_ = 0;
+  std::map<std::pair<Ms, std::uint64_t>, std::function<void()>> events_;
+  std::mt19937_64 random_;
+  std::vector<Proc> procs_;
+  std::vector<std::string> trace_;
+  // network
+  struct Cut {
+    std::set<std::string> a, b;
+    CutMode mode;
+  };
+  struct Held {
+    std::string from, to;
+    std::function<void()> f;
+  };
+  std::vector<Cut> cuts_;
+  std::vector<Held> held_;
+  // state service
+  std::map<std::string, Row> rows_;
+  std::vector<Change> changes_;
+  std::map<std::uint64_t, Grant> grants_;
+  std::vector<std::shared_ptr<Watch>> watches_;
+  std::uint64_t ledger_ = 0, next_grant_ = 0;
+  bool state_down_ = false;
+  std::set<std::string> refused_;
+  // cloud and workers
+  std::map<std::string, std::unique_ptr<Worker>> workers_;
+  std::map<std::string, std::vector<std::string>> charter_answers_;
+  std::set<std::string> charters_;
+  bool cloud_down_ = false, no_capacity_ = false, stuck_boots_ = false;
+  std::uint64_t next_machine_ = 0;
+  // users
+  std::map<std::string, JobSpec> specs_;
+  std::map<std::string, double> run_s_;
+  std::map<std::string, std::string> told_;
+  std::set<std::string> failing_jobs_;
+  int next_node_ = 0;
+};
+
+}  // namespace eiderreel::standin
--- /dev/null
+++ b/tests/trace_test.cc
@@ -0,0 +1,274 @@
+// Days in the stand-in world, written down as traces and compared in full. Each checks the rules
+// of the protocol; the traces in tests/traces/ are for reading. To write them anew after a change
+// of behaviour: EIDERREEL_WRITE_TRACES=1 target/tests/eiderreel_tests, then read the difference.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+#include "standin/world.h"
+
+using namespace eiderreel;
+using namespace eiderreel::standin;
+
+namespace {
+
+struct Trace : testing::Test {
+  void compare(World& w, const std::string& name) {
+    for (const auto& b : w.checker().broken()) ADD_FAILURE() << "rule broken: " << b;
+    EXPECT_GT(w.checker().starts(), 0u);
+    std::string text;
+    for (const auto& line : w.trace()) text += line + "\n";
+    const std::string path = std::string(EIDERREEL_SOURCE_DIR) + "/tests/traces/" + name + ".txt";
+    if (std::getenv("EIDERREEL_WRITE_TRACES")) {
+      std::ofstream(path) << text;
+      return;
+    }
+    std::ifstream in(path);
+    std::stringstream kept;
+    kept << in.rdbuf();
+    EXPECT_EQ(kept.str(), text) << "the trace differs from " << path;
+  }
+  static JobSpec service(World& w, const std::string& id, const std::string& team,
+                         std::uint32_t tasks, double cpus) {
+    JobSpec s = w.job(id, team, tasks, cpus);
+    s.kind = Kind::service;
+    s.rank = Rank::production;
+    s.spot = false;
+    return s;
+  }
+  // A service and an array for each team.
+  static void usual_load(World& w, double t) {
+    int n = 100;
+    for (const char* team : {"red", "blue", "gold"}) {
+      const std::string a = "run-" + std::to_string(++n), b = "run-" + std::to_string(++n);
+      w.at(t, [&w, a, b, team] {
+        w.submit(service(w, a, team, 1, 2));
+        w.submit(w.job(b, team, 12, 1, 8));
+      });
+    }
+  }
+  static void expect_usual_load_ends(World& w) {
+    for (const char* id : {"run-102", "run-104", "run-106"}) EXPECT_EQ(w.phase(id), "done") << id;
+    for (const char* id : {"run-101", "run-103", "run-105"}) EXPECT_EQ(w.tasks_on(id), 1u) << id;
+  }
+};
+
+TEST_F(Trace, QuietDay) {
+  World w({});
+  usual_load(w, 5);
+  w.at(30, [&] { w.cancel("run-101"); });
+  w.run_until(60);
+  EXPECT_EQ(w.phase("run-101"), "cancelled");
+  EXPECT_EQ(w.tasks_on("run-101"), 0u);
+  EXPECT_EQ(w.phase("run-104"), "done");
+  compare(w, "quiet_day");
+}
+
+TEST_F(Trace, OneOwnerCrashes) {
+  World w({});
+  usual_load(w, 5);
+  w.at(9, [&] { w.crash(1); });
+  w.run_until(70);
+  expect_usual_load_ends(w);
+  EXPECT_EQ(w.owner_of(1), 1);  // handed back
+  compare(w, "one_owner_crashes");
+}
+
+TEST_F(Trace, AllCrashAtOnce) {
+  World w({});
+  usual_load(w, 5);
+  w.at(9, [&] {
+    for (int i = 0; i < 3; ++i) w.crash(i);
+  });
+  w.run_until(70);
+  expect_usual_load_ends(w);
+  compare(w, "all_crash_at_once");
+}
+
+TEST_F(Trace, AnOwnerIsBackWithinAFractionOfASecond) {
+  World w({});
+  usual_load(w, 5);
+  w.at(9, [&] { w.crash(0, 0.2); });
+  w.run_until(60);
+  expect_usual_load_ends(w);
+  compare(w, "an_owner_is_back_at_once");
+}
+
+TEST_F(Trace, RollingRestart) {
+  World w({});
+  usual_load(w, 5);
+  for (int i = 0; i < 3; ++i) w.at(9 + 10 * i, [&w, i] { w.crash(i); });
+  w.run_until(90);
+  expect_usual_load_ends(w);
+  compare(w, "rolling_restart");
+}
+
+TEST_F(Trace, StateOutage) {
+  World w({});
+  usual_load(w, 5);
+  w.at(9, [&] { w.state_outage(true); });
+  w.at(24, [&] { w.state_outage(false); });
+  w.run_until(70);
+  expect_usual_load_ends(w);
+  compare(w, "state_outage");
+}
+
+// The state service refuses one node: it must step aside before its part has a new owner.
+TEST_F(Trace, OneNodeIsRefusedByTheStateService) {
+  World w({});
+  usual_load(w, 5);
+  w.at(9, [&] { w.state_refuses(1, true); });
+  w.at(40, [&] { w.state_refuses(1, false); });
+  w.run_until(80);
+  expect_usual_load_ends(w);
+  compare(w, "one_node_is_refused");
+}
+
+class CutTrace : public Trace, public testing::WithParamInterface<CutMode> {
+ public:
+  std::string mode() const { return GetParam() == CutMode::hold ? "hold" : "reset"; }
+};
+
+TEST_P(CutTrace, AnOwnerIsCutFromEverything) {
+  World w({});
+  usual_load(w, 5);
+  w.at(9, [&] { w.cut({"n1"}, {World::all()}, GetParam()); });
+  w.at(40, [&] { w.heal(); });
+  w.run_until(90);
+  expect_usual_load_ends(w);
+  compare(w, "owner_cut_" + mode());
+}
+
+TEST_P(CutTrace, AnOwnerIsCutFromTheStateService) {
+  World w({});
+  usual_load(w, 5);
+  w.at(9, [&] { w.cut({"n1"}, {"state"}, GetParam()); });
+  w.at(12, [&] { w.cancel("run-103"); });
+  w.at(40, [&] { w.heal(); });
+  w.run_until(90);
+  EXPECT_EQ(w.phase("run-103"), "cancelled");
+  EXPECT_EQ(w.phase("run-104"), "done");
+  compare(w, "owner_cut_from_state_" + mode());
+}
+
+// The mesh is down: users are still answered correctly by every node.
+TEST_P(CutTrace, TheMeshIsDown) {
+  World w({});
+  w.at(3, [&] { w.cut({"n0", "n1", "n2"}, {"n0", "n1", "n2"}, GetParam()); });
+  usual_load(w, 5);
+  w.at(20, [&] { w.cancel("run-101"); });
+  w.at(40, [&] { w.heal(); });
+  w.run_until(70);
+  EXPECT_EQ(w.phase("run-101"), "cancelled");
+  EXPECT_EQ(w.phase("run-104"), "done");
+  compare(w, "mesh_down_" + mode());
+}
+
+// Reports and commands held for longer than a lease arrive at last, and change nothing.
+TEST_P(CutTrace, MachinesAreCutForLongerThanTheirLease) {
+  World w({});
+  usual_load(w, 5);
+  w.at(9, [&] { w.cut({"w-m-000000", "w-m-000001", "w-m-000002"}, {World::all()}, GetParam()); });
+  w.at(30, [&] { w.heal(); });
+  w.run_until(90);
+  expect_usual_load_ends(w);
+  compare(w, "machines_cut_" + mode());
+}
+
+INSTANTIATE_TEST_SUITE_P(Modes, CutTrace, testing::Values(CutMode::hold, CutMode::reset),
+                         [](const auto& i) { return i.param == CutMode::hold ? "Hold" : "Reset"; });
+
+TEST_F(Trace, AMachineStopsWithAllThatIsOnIt) {
+  World w({});
+  usual_load(w, 5);
+  w.at(9, [&] { w.kill_machine(w.machines_of("run-101").at(0)); });
+  w.run_until(70);
+  expect_usual_load_ends(w);
+  compare(w, "a_machine_stops");
+}
+
+TEST_F(Trace, AMachineHangsAndGoesOn) {
+  World w({});
+  usual_load(w, 5);
+  w.at(9, [&] { w.freeze_machine(w.machines_of("run-101").at(0), true); });
+  w.at(30, [&] {
+    for (int i = 0; i < 6; ++i) w.freeze_machine("m-00000" + std::to_string(i), false);
+  });
+  w.run_until(70);
+  expect_usual_load_ends(w);
+  compare(w, "a_machine_hangs");
+}
+
+TEST_F(Trace, AMachineFailsEveryTask) {
+  World w({});
+  w.at(1, [&] { w.set_sick("m-000000", true); });
+  usual_load(w, 5);
+  w.run_until(70);
+  expect_usual_load_ends(w);
+  compare(w, "a_sick_machine");
+}
+
+// A job that fails everywhere must neither condemn machines nor spin.
+TEST_F(Trace, AJobFailsEverywhere) {
+  World w({});
+  w.set_failing("run-50");
+  w.at(4, [&] { w.submit(w.job("run-50", "red", 4)); });
+  usual_load(w, 8);
+  w.at(60, [&] { w.cancel("run-50"); });
+  w.run_until(80);
+  expect_usual_load_ends(w);
+  EXPECT_EQ(w.phase("run-50"), "cancelled");
+  EXPECT_LT(w.checker().starts(), 150u);
+  compare(w, "a_job_fails_everywhere");
+}
+
+TEST_F(Trace, ABurstRentsMachinesAndReturnsThem) {
+  World w({});
+  w.at(5, [&] {
+    for (int i = 1; i <= 6; ++i)
+      w.submit(w.job("run-" + std::to_string(i), i % 2 ? "red" : "blue", 40, 1, 6));
+  });
+  w.run_until(60);
+  EXPECT_GT(w.machines_up(), 6u);
+  w.run_until(200);
+  for (int i = 1; i <= 6; ++i) EXPECT_EQ(w.phase("run-" + std::to_string(i)), "done");
+  EXPECT_LT(w.machines_up(), 6u);
+  compare(w, "a_burst");
+}
+
+TEST_F(Trace, TheCloudRefusesIsDownAndBootsNothing) {
+  World w({});
+  w.no_capacity(true);
+  w.at(5, [&] { w.submit(w.job("run-1", "red", 200, 1, 4)); });
+  w.at(20, [&] { w.cloud_outage(true); });
+  w.at(35, [&] {
+    w.cloud_outage(false);
+    w.no_capacity(false);
+    w.stuck_boots(true);
+  });
+  w.at(60, [&] { w.stuck_boots(false); });
+  w.run_until(140);
+  EXPECT_EQ(w.phase("run-1"), "done");
+  compare(w, "cloud_troubles");
+}
+
+// Overlapping: an outage, a crash within it, machines lost, and a cancellation.
+TEST_F(Trace, TroublesOverlap) {
+  World w({});
+  usual_load(w, 5);
+  w.at(8, [&] { w.state_outage(true); });
+  w.at(11, [&] { w.crash(2); });
+  w.at(12, [&] { w.kill_machine("m-000003"); });
+  w.at(13, [&] { w.cancel("run-105"); });
+  w.at(22, [&] { w.state_outage(false); });
+  w.at(25, [&] { w.crash(0); });
+  w.at(26, [&] { w.crash(1, 0.3); });
+  w.run_until(100);
+  EXPECT_EQ(w.phase("run-105"), "cancelled");
+  for (const char* id : {"run-102", "run-104", "run-106"}) EXPECT_EQ(w.phase(id), "done") << id;
+  compare(w, "troubles_overlap");
+}
+
+}  // namespace
