--- a/src/constants.h
+++ b/src/constants.h
@@ -35,6 +35,9 @@
 constexpr Ms kJobBackoffMs = 1000;      // ms; first pause of a job that failed on several machines
 constexpr Ms kJobBackoffMaxMs = 30000;  // ms; longest such pause
 constexpr int kJobBadMachines = 3;      // a job that failed on so many machines is itself suspect
+constexpr Ms kImageWaitMs = 600;        // ms; a service waits so long for a machine with its image
+constexpr Ms kPreemptAfterMs = 250;     // ms; several machines have reported by then
+constexpr Ms kReclaimAfterMs = 2000;    // ms; a guarantee is reclaimed within the aims' 5 s
 constexpr int kAttemptBits = 24;        // bits; attempts within one term, below the term's bits
 
 // --- state service ------------------------------------------------------------------------
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -10,6 +10,7 @@
 Part::Part(int index, std::uint64_t term, Ms claimed_at, PartLimits limits, std::vector<Team> teams)
     : index_(index),
       term_(term),
+      now_(claimed_at),
       claimed_at_(claimed_at),
       limits_(limits),
       teams_(std::move(teams)),
@@ -140,6 +141,7 @@
   if (j->team < 0) return;
   j->state.assign(spec.tasks, State::queued);
   j->queued = spec.tasks;
+  j->waiting_since = now_;
   for (auto i : done)
     if (i < spec.tasks && j->state[i] == State::queued) {
       j->state[i] = State::recorded;
@@ -194,7 +196,8 @@
       // An orphan keeps its room and its team's share until it is seen to be gone.
       t->second.job = nullptr;
       t->second.killing = true;
-      kills_[mid].push_back({Verb::kill, id, t->first.second, t->second.attempt, 0.0});
+      t->second.grace_s = 0;
+      kills_[mid].push_back({Verb::kill, id, t->first.second, t->second.attempt, 0});
     }
   }
   order_.erase(std::find(order_.begin(), order_.end(), j));
@@ -255,7 +258,6 @@
   m.memory_gb += b.memory_gb;
   team_cpus_[b.team] += b.cpus;
   team_gpus_[b.team] += b.gpus;
-  m.images.insert(j.spec.image);
   if (j.state[i] == State::queued) {
     j.state[i] = State::bound;
     --j.queued;
@@ -268,7 +270,7 @@
 void Part::requeue(Job& j, std::uint32_t i) {
   if (j.state[i] != State::bound) return;
   j.state[i] = State::queued;
-  ++j.queued;
+  if (j.queued++ == 0) j.waiting_since = now_;
   j.first_queued = std::min(j.first_queued, i);
 }
 
@@ -321,6 +323,7 @@
 
 Answer Part::on_report(const Report& r, Ms now) {
   Answer a;
+  now_ = now;
   auto it = machines_.find(r.machine);
   if (it == machines_.end()) return {Verdict::stale, term_, {}};
   Machine& m = *it->second;
@@ -391,6 +394,7 @@
         if (b.phase == TaskPhase::running && t.phase != TaskPhase::running) --b.job->running;
       }
       b.phase = t.phase;
+      if (b.job && t.phase == TaskPhase::running) m.images.insert(b.job->spec.image);
     } else if (bt == m.tasks.end() && j && j->state[t.index] == State::queued) {
       bind(m, *j, t.index, t.attempt, t.phase);  // found after a takeover
     } else if (bt == m.tasks.end()) {
@@ -404,7 +408,7 @@
       bt->second.attempt = t.attempt;
     }
     if (m.tasks[key].killing || m.tasks[key].job == nullptr)
-      a.orders.push_back({Verb::kill, t.job, t.index, t.attempt, 0});
+      a.orders.push_back({Verb::kill, t.job, t.index, t.attempt, m.tasks[key].grace_s});
   }
   // Invariant 4: a launch is open until this report; what it lacks was never started or is gone.
   std::vector<TaskKey> lacking;
@@ -420,6 +424,7 @@
 }
 
 std::vector<std::string> Part::tick(Ms now) {
+  now_ = now;
   std::vector<std::string> lost;
   const Ms limit =
       static_cast<Ms>(limits_.lease_ms * (1 + constants::kDrift)) + constants::kProofMarginMs;
@@ -455,8 +460,101 @@
   return true;
 }
 
+bool Part::may_start(const Machine& m, const Job& j, bool proven, Ms now) const {
+  if (j.queued == 0 || j.held || j.not_before > now) return false;
+  if (j.older && !proven) return false;  // invariant 5
+  return !j.bad_machines.count(m.id) || j.bad_machines.size() >= machines_.size();
+}
+
+// A service waits a moment for a machine that has its image: the fetch takes far longer.
+bool Part::better_elsewhere(const Machine& m, const Job& j, Ms now) const {
+  if (j.spec.kind != Kind::service || m.images.count(j.spec.image) ||
+      now - j.waiting_since >= constants::kImageWaitMs)
+    return false;
+  return std::any_of(machines_.begin(), machines_.end(), [&](const auto& e) {
+    const Machine& o = *e.second;
+    return o.images.count(j.spec.image) && o.type && !o.gone && !o.leaving && !o.taken_at &&
+           o.shun_until <= now && allowed(j.spec, *o.type, o.zone, o.spot);
+  });
+}
+
+void Part::start_one(Machine& m, Job& j, std::vector<Order>& out) {
+  std::uint32_t i = j.first_queued;
+  while (j.state[i] != State::queued) ++i;
+  j.first_queued = i;
+  std::uint64_t attempt = (term_of(m.id) << constants::kAttemptBits) + ++counter_;
+  bind(m, j, i, attempt, TaskPhase::pulling);
+  out.push_back({Verb::launch, j.spec.id, i, attempt, 0});
+  ++starts_;
+}
+
+bool Part::may_stop(const Bound& victim, const Job& j, bool by_guarantee) const {
+  if (!victim.job || victim.killing || victim.phase == TaskPhase::flushing) return false;
+  const JobSpec& v = victim.job->spec;
+  if (by_guarantee)
+    return victim.team != j.team && v.kind == Kind::array && v.rank <= j.spec.rank &&
+           team_cpus_[victim.team] - victim.cpus >= teams_[victim.team].cpus - kEps;
+  return v.rank < j.spec.rank;
+}
+
+// Stops tasks here and starts one of the job in their room, in the same answer: the worker obeys
+// in order, and a task that cannot save is gone at once. One that can save is told to, and its
+// room is used when it is seen to be gone.
+bool Part::preempt_for(Machine& m, Job& j, double unproven, bool by_guarantee,
+                       std::vector<Order>& out) {
+  std::vector<std::pair<TaskKey, Bound*>> victims;
+  double cpus = m.type->cpus - m.cpus, gpus = m.type->gpus - m.gpus;
+  double memory = m.type->memory_gb - m.memory_gb;
+  if (cpus < -kEps) return false;  // an earlier answer's stops are not seen yet
+  std::vector<std::pair<TaskKey, Bound*>> candidates;
+  for (auto& [key, b] : m.tasks)
+    if (may_stop(b, j, by_guarantee)) candidates.emplace_back(key, &b);
+  // The lowest rank first, then the youngest: the least work is lost.
+  std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
+    const Rank ra = a.second->job->spec.rank, rb = b.second->job->spec.rank;
+    return ra != rb ? ra < rb : a.second->attempt > b.second->attempt;
+  });
+  const JobSpec& s = j.spec;
+  auto enough = [&] {
+    return cpus + kEps >= s.cpus && gpus + kEps >= s.gpus && memory + kEps >= s.memory_gb;
+  };
+  double given = 0;
+  for (auto& c : candidates) {
+    if (enough()) break;
+    const Bound& b = *c.second;
+    if (by_guarantee &&
+        team_cpus_[b.team] - given - b.cpus < teams_[b.team].cpus - kEps)
+      continue;  // a team keeps its own guarantee
+    if (by_guarantee) given += b.cpus;
+    cpus += b.cpus;
+    gpus += b.gpus;
+    memory += b.memory_gb;
+    victims.push_back(c);
+  }
+  if (!enough()) return false;
+  // The other conditions, as if the machine were empty.
+  const double taken_cpus = m.cpus, taken_gpus = m.gpus, taken_memory = m.memory_gb;
+  m.cpus = m.gpus = m.memory_gb = 0;
+  const bool fits_here = fits(m, j, unproven);
+  m.cpus = taken_cpus, m.gpus = taken_gpus, m.memory_gb = taken_memory;
+  if (!fits_here) return false;
+  bool at_once = true;
+  for (auto& [key, b] : victims) {
+    const JobSpec& v = b->job->spec;
+    const bool saves = v.checkpoint_s > 0 && b->phase == TaskPhase::running;
+    at_once &= !saves;
+    b->killing = true;
+    b->grace_s = saves ? v.save_s : 0;
+    out.push_back({Verb::kill, key.first, key.second, b->attempt, b->grace_s});
+    ++preemptions_;
+  }
+  if (at_once) start_one(m, j, out);
+  return at_once;
+}
+
 std::vector<Order> Part::place(const std::string& machine, Ms now) {
   std::vector<Order> out;
+  now_ = now;
   auto it = machines_.find(machine);
   if (it == machines_.end()) return out;
   Machine& m = *it->second;
@@ -469,21 +567,27 @@
   // a job are alike, so they are decided together.
   for (bool within : {true, false}) {
     for (Job* j : order_) {
-      if (j->queued == 0 || j->held || j->not_before > now) continue;
-      if (j->older && !proven) continue;  // invariant 5
-      if (j->bad_machines.count(m.id) && j->bad_machines.size() < machines_.size()) continue;
+      if (!may_start(m, *j, proven, now) || better_elsewhere(m, *j, now)) continue;
       while (j->queued > 0 && fits(m, *j, unproven)) {
         if (within && team_cpus_[j->team] + j->spec.cpus > teams_[j->team].cpus + kEps) break;
-        std::uint32_t i = j->first_queued;
-        while (j->state[i] != State::queued) ++i;
-        j->first_queued = i;
-        std::uint64_t attempt = (term_of(m.id) << constants::kAttemptBits) + ++counter_;
-        bind(m, *j, i, attempt, TaskPhase::pulling);
-        out.push_back({Verb::launch, j->spec.id, i, attempt, 0});
-        ++starts_;
+        start_one(m, *j, out);
       }
     }
   }
+  // What still waits, after a moment in which another machine may have had room: it may stop
+  // work of lower rank, and, within its guarantee, what other teams have borrowed.
+  for (Job* j : order_) {
+    if (!may_start(m, *j, proven, now) || better_elsewhere(m, *j, now)) continue;
+    const Ms waited = now - j->waiting_since;
+    if (j->spec.rank > Rank::standard && waited >= constants::kPreemptAfterMs)
+      while (j->queued > 0 && preempt_for(m, *j, unproven, false, out)) {
+      }
+    if (waited >= constants::kReclaimAfterMs)
+      while (j->queued > 0 &&
+             team_cpus_[j->team] + j->spec.cpus <= teams_[j->team].cpus + kEps &&
+             preempt_for(m, *j, unproven, true, out)) {
+      }
+  }
   if (!m.tasks.empty()) m.idle_since = now;
   return out;
 }
@@ -492,9 +596,9 @@
   auto it = machines_.find(machine);
   if (it == machines_.end()) return 0;
   const Machine& m = *it->second;
-  if (!m.proven || m.leaving || !m.type || m.taken_at || m.cpus + 1 > m.type->cpus) return 0;
+  if (!m.proven || m.leaving || !m.type || m.taken_at) return 0;
   // A parked worker cannot tell of a finished task, so only one whose tasks do not finish by
-  // themselves waits long.
+  // themselves waits long. The others wait no longer than a worker would between two reports.
   bool quiet = std::all_of(m.tasks.begin(), m.tasks.end(), [](const auto& t) {
     return t.second.job && t.second.job->spec.kind == Kind::service &&
            t.second.phase == TaskPhase::running;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -112,6 +112,7 @@
   std::vector<MachineView> machine_views(Ms now) const;
   std::size_t job_count() const { return jobs_.size(); }
   std::uint64_t starts() const { return starts_; }
+  std::uint64_t preemptions() const { return preemptions_; }
 
  private:
   enum class State : std::uint8_t { queued, bound, done, recorded };
@@ -124,6 +125,7 @@
     bool killing = false;
     double cpus = 0, gpus = 0, memory_gb = 0;  // kept by an orphan until it is gone
     int team = -1;
+    double grace_s = 0;  // told with the kill
   };
   using TaskKey = std::pair<std::string, std::uint32_t>;
   struct Machine {
@@ -142,7 +144,7 @@
     std::optional<Ms> taken_at;  // spot notice
     std::map<TaskKey, Bound> tasks;
     double cpus = 0, gpus = 0, memory_gb = 0;  // taken
-    std::set<std::string> images;
+    std::set<std::string> images;  // those that a task here has had
     int errors = 0;
     Ms shun_until = 0, shun_ms = 0;
   };
@@ -157,6 +159,7 @@
     std::map<std::string, int> zones;  // bound tasks by zone
     std::set<std::string> bad_machines;
     Ms not_before = 0, backoff = 0;
+    Ms waiting_since = 0;  // when the first of its queued tasks began to wait
   };
 
   void release(Machine& m, const TaskKey& key, bool requeue);
@@ -165,6 +168,12 @@
   void set_done(Job& j, std::uint32_t i);
   void drop_all(Machine& m);
   void note_error(Machine& m, Job& j, Ms now);
+  bool may_start(const Machine& m, const Job& j, bool proven, Ms now) const;
+  bool better_elsewhere(const Machine& m, const Job& j, Ms now) const;
+  void start_one(Machine& m, Job& j, std::vector<Order>& out);
+  bool preempt_for(Machine& m, Job& j, double unproven, bool by_guarantee,
+                   std::vector<Order>& out);
+  bool may_stop(const Bound& victim, const Job& j, bool by_guarantee) const;
   bool fits(const Machine& m, const Job& j, double unproven_cpus) const;
   bool all_proven() const;
   static bool holds_unknown(const Machine& m);
@@ -173,6 +182,7 @@
 
   int index_;
   std::uint64_t term_;
+  Ms now_;  // of the newest event
   Ms claimed_at_;
   PartLimits limits_;
   std::vector<Team> teams_;
@@ -181,7 +191,7 @@
   std::unordered_map<std::string, std::unique_ptr<Machine>> machines_;
   std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
   std::vector<Job*> order_;  // by rank, then age
-  std::uint64_t counter_ = 0, starts_ = 0;
+  std::uint64_t counter_ = 0, starts_ = 0, preemptions_ = 0;
   std::map<std::string, std::vector<Order>> kills_;
 };
 
