Deal machines out by what is asked per CPU assigned

Excluded: image fetches (launches came late), preemption (nothing there to stop but other services).

--- a/src/actors/fleet.cc
+++ b/src/actors/fleet.cc
@@ -63,31 +63,41 @@
   return std::max(w, 1.0);
 }
 
-double Fleet::assigned_cpus(int part) const {
+double Fleet::assigned_cpus(int part, bool ordinary_only) const {
   double sum = 0;
-  for (const auto& [id, m] : registrar_.view().machines)
-    if (m.record.part == part)
-      if (const MachineType* t = type(m.record.type)) sum += t->cpus;
+  auto add = [&](const codec::MachineRecord& r) {
+    if (r.part != part || (ordinary_only && r.spot)) return;
+    if (const MachineType* t = type(r.type)) sum += t->cpus;
+  };
+  for (const auto& [id, m] : registrar_.view().machines) add(m.record);
+  for (const auto& [id, a] : assigning_) add(a.record);
   return sum;
 }
 
-// A new machine goes to the part that waits most; with none waiting, to the one with the least
-// for its teams' guarantees.
-int Fleet::part_for(const std::string& type_name) const {
+// A new machine goes where most is asked for what is there. Ordinary machines are dealt out by
+// what cannot run on spot ones, above all services; the guarantees count as a base, so that no
+// part is left bare.
+int Fleet::part_for(const std::string& type_name, bool spot) const {
   const auto needs = owner_.needs();
   const MachineType* t = type(type_name);
   const double cpus = t ? t->cpus : 1;
+  double all_weights = 0, all_cpus = cpus;
+  for (int p = 0; p < s_.parts; ++p) {
+    all_weights += weight(p);
+    all_cpus += assigned_cpus(p, !spot);
+  }
   int best = 0;
-  double best_waiting = -1, best_ratio = 0;
+  double best_ratio = -1;
   for (int p = 0; p < s_.parts; ++p) {
-    auto n = needs.find(p);
-    const double waiting = n == needs.end() ? 0 : n->second.waiting_cpus;
-    const double ratio = (assigned_cpus(p) + cpus) / weight(p);
-    const bool better =
-        waiting > best_waiting + cpus || (waiting > best_waiting - cpus && ratio < best_ratio);
-    if (best_waiting < 0 || better) {
+    PartNeed n;
+    if (auto it = needs.find(p); it != needs.end()) n = it->second;
+    const double asked = spot ? n.used_cpus + n.waiting_cpus
+                              : (n.used_service_cpus + n.waiting_service_cpus) * k::kServiceRoom +
+                                    n.waiting_cpus - n.waiting_spot_cpus;
+    const double base = k::kBaseShare * all_cpus * weight(p) / all_weights;
+    const double ratio = (asked + base) / (assigned_cpus(p, !spot) + cpus);
+    if (ratio > best_ratio) {
       best = p;
-      best_waiting = waiting;
       best_ratio = ratio;
     }
   }
@@ -96,29 +106,27 @@
 
 void Fleet::assign(const Report& r, Reply reply) {
   if (auto it = assigning_.find(r.machine); it != assigning_.end()) {
-    auto old = std::move(it->second);
-    it->second = std::move(reply);
+    auto old = std::move(it->second.reply);
+    it->second.reply = std::move(reply);
     old(503, "");
     return;
   }
   if (types_.empty()) return reply(503, "");
-  assigning_[r.machine] = std::move(reply);
-  const int part = part_for(r.type);
+  const codec::MachineRecord record{part_for(r.type, r.spot), r.type, r.zone, r.addr, r.spot};
+  assigning_[r.machine] = {std::move(reply), record};
   Commit c;
   c.nonce = registrar_.nonce();
   c.guards = {{codec::machine_key(r.machine), 0}};
-  c.writes = {{codec::machine_key(r.machine),
-               codec::encode(codec::MachineRecord{part, r.type, r.zone, r.addr, r.spot}, c.nonce),
-               false}};
-  c.done = [this, r, part](Outcome o, std::uint64_t) {
+  c.writes = {{codec::machine_key(r.machine), codec::encode(record, c.nonce), false}};
+  c.done = [this, r, record](Outcome o, std::uint64_t) {
     auto it = assigning_.find(r.machine);
-    Reply reply = std::move(it->second);
+    Reply waiting = std::move(it->second.reply);
     assigning_.erase(it);
     rented_.erase(r.machine);
-    if (o != Outcome::ok) return reply(503, "");
-    spdlog::info("machine assigned machine={} part={} type={} zone={} spot={}", r.machine, part,
-                 r.type, r.zone, r.spot);
-    owner_.report(r, std::move(reply));
+    if (o != Outcome::ok) return waiting(503, "");
+    spdlog::info("machine assigned machine={} part={} type={} zone={} spot={}", r.machine,
+                 record.part, r.type, r.zone, r.spot);
+    owner_.report(r, std::move(waiting));
   };
   registrar_.commit(std::move(c));
 }
--- a/src/actors/fleet.h
+++ b/src/actors/fleet.h
@@ -33,6 +33,10 @@
     codec::ListedMachine listed;
     Ms last_seen = 0;
   };
+  struct Assigning {  // its commit is on its way
+    Reply reply;
+    codec::MachineRecord record;
+  };
   struct Rented {  // ours, not listed or not up yet
     std::string type, zone;
     bool spot = false;
@@ -52,8 +56,9 @@
   void forget(const std::string& id);
   void call(HttpRequest r, std::function<void(HttpReply)> done);
   double weight(int part) const;
-  double assigned_cpus(int part) const;
-  int part_for(const std::string& type) const;
+  // CPUs assigned to a part: all, or those of ordinary machines only.
+  double assigned_cpus(int part, bool ordinary_only) const;
+  int part_for(const std::string& type, bool spot) const;
   const MachineType* type(const std::string& name) const;
   void advise(const std::string& machine, int to);
 
@@ -73,7 +78,7 @@
   std::set<std::string> in_list_;
   std::map<std::string, Known> known_;
   std::map<std::string, Rented> rented_;
-  std::map<std::string, Reply> assigning_;
+  std::map<std::string, Assigning> assigning_;
   std::map<std::string, Ms> refused_;  // type/zone/kind -> when to ask again
   std::set<std::string> changing_;     // machine keys with a commit on its way
   std::map<std::string, Ms> idle_since_;
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -522,8 +522,7 @@
   for (auto& c : candidates) {
     if (enough()) break;
     const Bound& b = *c.second;
-    if (by_guarantee &&
-        team_cpus_[b.team] - given - b.cpus < teams_[b.team].cpus - kEps)
+    if (by_guarantee && team_cpus_[b.team] - given - b.cpus < teams_[b.team].cpus - kEps)
       continue;  // a team keeps its own guarantee
     if (by_guarantee) given += b.cpus;
     cpus += b.cpus;
@@ -583,8 +582,7 @@
       while (j->queued > 0 && preempt_for(m, *j, unproven, false, out)) {
       }
     if (waited >= constants::kReclaimAfterMs)
-      while (j->queued > 0 &&
-             team_cpus_[j->team] + j->spec.cpus <= teams_[j->team].cpus + kEps &&
+      while (j->queued > 0 && team_cpus_[j->team] + j->spec.cpus <= teams_[j->team].cpus + kEps &&
              preempt_for(m, *j, unproven, true, out)) {
       }
   }
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -144,7 +144,7 @@
     std::optional<Ms> taken_at;  // spot notice
     std::map<TaskKey, Bound> tasks;
     double cpus = 0, gpus = 0, memory_gb = 0;  // taken
-    std::set<std::string> images;  // those that a task here has had
+    std::set<std::string> images;              // those that a task here has had
     int errors = 0;
     Ms shun_until = 0, shun_ms = 0;
   };
@@ -171,8 +171,7 @@
   bool may_start(const Machine& m, const Job& j, bool proven, Ms now) const;
   bool better_elsewhere(const Machine& m, const Job& j, Ms now) const;
   void start_one(Machine& m, Job& j, std::vector<Order>& out);
-  bool preempt_for(Machine& m, Job& j, double unproven, bool by_guarantee,
-                   std::vector<Order>& out);
+  bool preempt_for(Machine& m, Job& j, double unproven, bool by_guarantee, std::vector<Order>& out);
   bool may_stop(const Bound& victim, const Job& j, bool by_guarantee) const;
   bool fits(const Machine& m, const Job& j, double unproven_cpus) const;
   bool all_proven() const;
