--- a/src/actors/desk.cc
+++ b/src/actors/desk.cc
@@ -65,6 +65,7 @@
       return reply(201, codec::job_answer(id, JobPhase::queued));
     }
     if (o == Outcome::conflict) return look_up(id, false, reply);
+    spdlog::debug("job refused job={} outcome={}", id, static_cast<int>(o));
     refuse(reply, "the state service did not confirm; try again");
   };
   registrar_.commit(std::move(c));
--- a/src/actors/fleet.cc
+++ b/src/actors/fleet.cc
@@ -172,17 +172,36 @@
   const Ms now = rt_.now();
   const auto needs = owner_.needs();
   if (static_cast<int>(needs.size()) < s_.parts) return;  // without news nothing is concluded
-  double waiting = 0, waiting_spot = 0, idle = 0, coming = 0;
+  double waiting = 0, waiting_spot = 0, waiting_service = 0, work = 0, idle = 0, coming = 0;
+  double total = 0, slack = 0;
   for (const auto& [p, n] : needs) {
     waiting += n.waiting_cpus;
     waiting_spot += n.waiting_spot_cpus;
+    waiting_service += n.waiting_service_cpus;
+    work += n.waiting_core_s;
+    total += n.total_cpus;
+    slack = std::max(slack, n.slack_s);
     for (const auto& id : n.idle)
       if (auto m = registrar_.view().machines.find(id); m != registrar_.view().machines.end())
         if (const MachineType* t = type(m->second.record.type)) idle += t->cpus;
   }
   for (const auto& [id, r] : rented_)
     if (const MachineType* t = type(r.type)) coming += t->cpus;
-  const double lack = waiting - idle - coming;
+  double boot = 0;
+  for (const auto& t : types_) boot = std::max(boot, t.boot_s);
+  // Where the usual slack before a deadline is long beside a boot time, thrift costs little:
+  // enough is rented for what is left of the queue after a boot to be worked off within a part
+  // of the slack. Services wait for nothing. Elsewhere all that waits is rented for.
+  const bool thrift = slack >= k::kThriftBoots * boot;
+  const double left = std::max(0.0, work - total * boot);
+  const double asked =
+      thrift ? std::min(waiting, std::max(left / (slack * k::kPatience) - total, waiting_service))
+             : waiting;
+  const double lack = asked - idle - coming;
+  spdlog::debug(
+      "fleet asked={:.0f} waiting={:.0f} work={:.0f} idle={:.0f} coming={:.0f} total={:.0f} "
+      "slack={:.1f}",
+      asked, waiting, work, idle, coming, total, slack);
   if (lack <= 0) {
     short_since_ = 0;
   } else if (short_since_ == 0) {
@@ -223,13 +242,15 @@
   }
   for (const auto& [p, n] : needs)
     for (const auto& id : n.idle) idle_since_.emplace(id, now);
-  if (waiting > 0) return;
+  // Where the usual slack is short beside a boot time, a machine let go is missed: it is kept.
   std::string dearest;
   double price = -1;
   for (const auto& [id, since] : idle_since_) {
     auto m = registrar_.view().machines.find(id);
-    if (now - since < k::kIdleReturnMs || m == registrar_.view().machines.end()) continue;
+    if (m == registrar_.view().machines.end()) continue;
     const MachineType* t = type(m->second.record.type);
+    const Ms keep = thrift ? k::kIdleReturnMs : k::kIdleKeepMs;
+    if (now - since < keep || (t && idle - t->cpus < waiting)) continue;
     const double p = !t ? 0 : m->second.record.spot ? t->spot_price : t->price;
     if (p > price) {
       price = p;
--- a/src/actors/node.cc
+++ b/src/actors/node.cc
@@ -58,7 +58,6 @@
   struct Visitor {
     Node& n;
     const std::string& from;
-    void operator()(const mesh::Hello&) {}
     void operator()(const mesh::Ask& a) {
       n.owner_.ask(a, [node = &n, from = from, number = a.number](int status, std::string body) {
         node->send(from, mesh::Answer{number, status, std::move(body)});
@@ -67,10 +66,11 @@
     void operator()(const mesh::Answer& a) { n.desk_.peer_answer(a); }
     void operator()(const mesh::Status& s) { n.owner_.peer_status(from, s); }
     void operator()(const mesh::Move& mv) { n.owner_.move(mv); }
-    void operator()(const mesh::Unassigned&) {}
     void operator()(const mesh::Gone& g) { n.owner_.machines_gone(g.machines); }
-    void operator()(const mesh::PledgeAsk&) {}
-    void operator()(const mesh::Pledge&) {}
+    void operator()(const mesh::PledgeAsk& a) {
+      n.send(from, mesh::Pledge{a.number, n.owner_.pledge(from, a)});
+    }
+    void operator()(const mesh::Pledge& p) { n.owner_.pledged(from, p); }
   };
   std::visit(Visitor{*this, m->from}, m->body);
 }
--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -7,17 +7,78 @@
 namespace k = constants;
 
 Owner::Owner(Runtime& rt, const Settings& s, Registrar& registrar)
-    : rt_(rt), s_(s), registrar_(registrar) {}
+    : rt_(rt),
+      s_(s),
+      registrar_(registrar),
+      started_(rt.now()),
+      next_pledge_(static_cast<std::uint64_t>(rt.random() * 9e15)) {}
 
 Owner::Owned* Owner::owned(int part) {
   auto it = owned_.find(part);
   return it == owned_.end() ? nullptr : &it->second;
 }
 
-// Invariant 6: whoever is not surely the owner does nothing.
+// Invariant 6: whoever is not surely the owner does nothing. Sure is who has a live grant, or,
+// while nobody reaches the state service, the pledges of all peers not to claim its parts.
+bool Owner::entitled() const {
+  if (registrar_.grant_alive()) return true;
+  if (registrar_.grant() == 0 || s_.peers.empty()) return false;
+  const Ms now = rt_.now();
+  return std::all_of(s_.peers.begin(), s_.peers.end(), [&](const Peer& p) {
+    auto it = pledge_until_.find(p.name);
+    return it != pledge_until_.end() && now < it->second;
+  });
+}
+
 bool Owner::acting(int part) const {
   auto it = owned_.find(part);
-  return it != owned_.end() && it->second.active && registrar_.grant_alive();
+  return it != owned_.end() && it->second.active && entitled();
+}
+
+// Asked as soon as the state service is silent, so that the pledges are there when the grant
+// can no longer be sure. A pledge counts from the sending of the question.
+void Owner::ask_pledges() {
+  const Ms now = rt_.now();
+  if (owned_.empty() || now - registrar_.last_good() < k::kStateSilentMs ||
+      now - pledge_asked_at_ < k::kPledgeEveryMs)
+    return;
+  pledge_asked_at_ = now;
+  mesh::PledgeAsk a;
+  a.number = ++next_pledge_;
+  a.life = k::kPledgeMs;
+  for (const auto& [part, o] : owned_) a.parts.emplace_back(part, o.core->term());
+  pledge_asked_[a.number] = now;
+  while (pledge_asked_.size() > k::kPledgesOpen) pledge_asked_.erase(pledge_asked_.begin());
+  hooks_.broadcast(a);
+}
+
+void Owner::pledged(const std::string& node, const mesh::Pledge& p) {
+  auto asked = pledge_asked_.find(p.number);
+  if (asked == pledge_asked_.end() || !p.given) return;
+  const Ms until =
+      asked->second + static_cast<Ms>(k::kPledgeMs * (1 - k::kDrift)) - k::kGrantMarginMs;
+  Ms& held = pledge_until_[node];
+  held = std::max(held, until);
+}
+
+// We promise only while we do not reach the state service either, and only to the owner that we
+// last saw there. A claim of ours that may still land forbids it. An earlier process of this
+// node had a grant that is ended before we have one, so none of its claims can land any more.
+bool Owner::pledge(const std::string& node, const mesh::PledgeAsk& a) {
+  const View& v = registrar_.view();
+  const Ms now = rt_.now();
+  if (!v.ready || registrar_.grant() == 0 || a.life > k::kPledgeMs ||
+      now - registrar_.last_good() < k::kStateSilentMs)
+    return false;
+  for (const auto& [part, stamp] : a.parts) {
+    auto it = v.parts.find(part);
+    if (it == v.parts.end() || it->second.owner != node || it->second.stamp != stamp ||
+        claiming_.count(part) || owned_.count(part))
+      return false;
+  }
+  for (const auto& [part, stamp] : a.parts)
+    promised_[part] = std::max(promised_[part], now + static_cast<Ms>(a.life * (1 + k::kDrift)));
+  return true;
 }
 
 Owner::Owned* Owner::acting_owned(int part) { return acting(part) ? owned(part) : nullptr; }
@@ -61,6 +122,9 @@
       continue;
     }
     const Ms since = vacant_since_.emplace(part, now).first->second;
+    // Invariant 6: a promise is kept, also one that an earlier process of this node has given.
+    if (now < promised_[part]) continue;
+    if (last_owner_[part] != s_.node && now - started_ < k::kPledgeMs + k::kGrantMarginMs) continue;
     const std::string home = s_.home_of(part);
     Ms wait = 0;
     if (home != s_.node) wait = v.nodes.count(home) ? k::kClaimHomeAliveMs : k::kClaimOtherMs;
@@ -78,7 +142,8 @@
   c.urgent = true;
   const std::uint64_t grant = registrar_.grant();
   c.done = [this, part, grant](Outcome o, std::uint64_t stamp) {
-    claiming_.erase(part);
+    // In doubt it may still land: the part's key will tell (see part_changed).
+    if (o != Outcome::unknown) claiming_.erase(part);
     if (o == Outcome::ok && grant == registrar_.grant()) activate(part, stamp);
   };
   registrar_.commit(std::move(c));
@@ -145,8 +210,15 @@
 
 void Owner::part_changed(int part) {
   Owned* o = owned(part);
-  if (!o) return;
   auto it = registrar_.view().parts.find(part);
+  if (it != registrar_.view().parts.end()) {
+    last_owner_[part] = it->second.owner;
+    // A claim that was in doubt has landed after all.
+    if (!o && it->second.owner == s_.node && claiming_.erase(part) > 0 &&
+        it->second.grant == registrar_.grant())
+      return activate(part, it->second.stamp);
+  }
+  if (!o) return;
   const bool ours = it != registrar_.view().parts.end() && it->second.owner == s_.node &&
                     it->second.stamp == o->core->term();
   if (!ours) drop(part, "key-changed");
@@ -237,7 +309,11 @@
   const Ms now = rt_.now();
   std::vector<std::pair<std::string, std::vector<Order>>> ready;
   const bool waiting = o.core->has_waiting();
-  for (auto& [id, p] : o.parked) {
+  std::vector<std::string> ids;
+  for (const auto& [id, p] : o.parked) ids.push_back(id);
+  if (waiting) ids = o.core->fullest_first(std::move(ids));
+  for (const auto& id : ids) {
+    const Parked& p = o.parked.at(id);
     auto starts = waiting ? o.core->place(id, now) : std::vector<Order>{};
     if (!starts.empty() || p.until <= now) ready.emplace_back(id, std::move(starts));
   }
@@ -411,7 +487,8 @@
     Flush& f = o.flushes[id];
     if (f.in_flight) continue;
     if (o.core->complete(id)) {
-      if (now - f.last >= k::kRetryMs) finish(part, id, JobPhase::done, [](int, std::string) {});
+      if (now - f.last >= k::kFinishRetryMs)
+        finish(part, id, JobPhase::done, [](int, std::string) {});
     } else if (!o.core->held(id) && now - f.last >= k::kDoneBatchMs) {
       flush_job(part, o, id);
     }
@@ -475,6 +552,7 @@
 void Owner::tick() {
   claim_vacant();
   hand_back();
+  ask_pledges();
   const Ms now = rt_.now();
   for (auto& [part, o] : owned_) {
     if (!o.active) continue;
--- a/src/actors/owner.h
+++ b/src/actors/owner.h
@@ -40,6 +40,9 @@
   void machine_changed(const std::string& id);
   void part_changed(int part);
   void grant_lost();
+  // A peer asks us not to claim its parts for a while; whether we promise.
+  bool pledge(const std::string& node, const mesh::PledgeAsk& a);
+  void pledged(const std::string& node, const mesh::Pledge& p);
   void types_known(const std::vector<MachineType>& types);
 
   // --- what others may know ---
@@ -73,6 +76,8 @@
     mesh::Status status;
   };
 
+  bool entitled() const;
+  void ask_pledges();
   Owned* owned(int part);
   Owned* acting_owned(int part);
   int part_of_job(const std::string& id) const;
@@ -96,7 +101,14 @@
   Hooks hooks_;
   std::map<int, Owned> owned_;
   std::map<int, Ms> vacant_since_;
-  std::set<int> claiming_;
+  std::map<int, std::string> last_owner_;
+  std::set<int> claiming_;      // a claim of ours is on its way, or in doubt
+  std::map<int, Ms> promised_;  // parts that we must not claim until then
+  // Pledges of peers to us: the sending time of the question, and until when each holds.
+  std::map<std::uint64_t, Ms> pledge_asked_;
+  std::map<std::string, Ms> pledge_until_;
+  Ms pledge_asked_at_ = 0, started_ = 0;
+  std::uint64_t next_pledge_ = 0;
   std::map<std::string, PeerNews> peers_;
   std::vector<MachineType> types_;
   Ms last_status_ = 0;
--- a/src/actors/registrar.cc
+++ b/src/actors/registrar.cc
@@ -323,7 +323,7 @@
     if (row.deleted)
       view_.parts.erase(part);
     else if (row.part)
-      view_.parts[part] = {row.part->owner, row.stamp};
+      view_.parts[part] = {row.part->owner, row.stamp, row.part->grant};
     if (announce) events_.part_changed(part);
   }
 }
--- a/src/actors/registrar.h
+++ b/src/actors/registrar.h
@@ -20,7 +20,7 @@
 struct View {
   struct PartEntry {
     std::string owner;
-    std::uint64_t stamp = 0;
+    std::uint64_t stamp = 0, grant = 0;
   };
   struct MachineEntry {
     codec::MachineRecord record;
--- a/src/codec/mesh.capnp
+++ b/src/codec/mesh.capnp
@@ -8,15 +8,13 @@
 struct Envelope {
   from @0 :Text;
   union {
-    hello @1 :Void;
-    ask @2 :Ask;
-    answer @3 :Answer;
-    status @4 :Status;
-    move @5 :Move;
-    unassigned @6 :Unassigned;
-    pledgeAsk @7 :PledgeAsk;
-    pledge @8 :Pledge;
-    gone @9 :Unassigned;
+    ask @1 :Ask;
+    answer @2 :Answer;
+    status @3 :Status;
+    move @4 :Move;
+    pledgeAsk @5 :PledgeAsk;
+    pledge @6 :Pledge;
+    gone @7 :Machines;
   }
 }
 
@@ -45,6 +43,8 @@
   usedServiceCpus @5 :Float64;
   totalCpus @6 :Float64;
   idle @7 :List(Text);
+  waitingCoreS @8 :Float64;
+  slackS @9 :Float64;
 }
 
 struct Move {                     # the leader's advice: give this idle machine to that part
@@ -52,13 +52,19 @@
   part @1 :Int16;                 # -1: release it, to be returned
 }
 
-struct Unassigned {               # machines
+struct Machines {
   machines @0 :List(Text);
 }
 
-struct PledgeAsk {
+struct PledgeAsk {                # not to claim these parts of the sender's for so long
   number @0 :UInt64;
   lifeMs @1 :Int64;
+  parts @2 :List(OwnedPart);
+}
+
+struct OwnedPart {
+  part @0 :UInt16;
+  stamp @1 :UInt64;
 }
 
 struct Pledge {
--- a/src/codec/mesh.cc
+++ b/src/codec/mesh.cc
@@ -24,7 +24,6 @@
 
 struct Encoder {
   wire::Envelope::Builder e;
-  void operator()(const Hello&) { e.setHello(); }
   void operator()(const Ask& m) {
     auto b = e.initAsk();
     b.setNumber(m.number);
@@ -49,6 +48,8 @@
       b.setUsedCpus(n.used_cpus);
       b.setUsedServiceCpus(n.used_service_cpus);
       b.setTotalCpus(n.total_cpus);
+      b.setWaitingCoreS(n.waiting_core_s);
+      b.setSlackS(n.slack_s);
       put_names(b.initIdle(static_cast<unsigned>(n.idle.size())), n.idle);
     }
   }
@@ -57,10 +58,6 @@
     b.setMachine(m.machine);
     b.setPart(static_cast<std::int16_t>(m.part));
   }
-  void operator()(const Unassigned& m) {
-    put_names(e.initUnassigned().initMachines(static_cast<unsigned>(m.machines.size())),
-              m.machines);
-  }
   void operator()(const Gone& m) {
     put_names(e.initGone().initMachines(static_cast<unsigned>(m.machines.size())), m.machines);
   }
@@ -68,6 +65,11 @@
     auto b = e.initPledgeAsk();
     b.setNumber(m.number);
     b.setLifeMs(m.life);
+    auto list = b.initParts(static_cast<unsigned>(m.parts.size()));
+    for (unsigned i = 0; i < m.parts.size(); ++i) {
+      list[i].setPart(static_cast<std::uint16_t>(m.parts[i].first));
+      list[i].setStamp(m.parts[i].second);
+    }
   }
   void operator()(const Pledge& m) {
     auto b = e.initPledge();
@@ -86,19 +88,24 @@
     n.used_cpus = b.getUsedCpus();
     n.used_service_cpus = b.getUsedServiceCpus();
     n.total_cpus = b.getTotalCpus();
+    n.waiting_core_s = b.getWaitingCoreS();
+    n.slack_s = b.getSlackS();
     n.idle = names(b.getIdle());
     s.parts.emplace_back(b.getPart(), std::move(n));
   }
   return s;
 }
 
+PledgeAsk read_pledge_ask(wire::PledgeAsk::Reader r) {
+  PledgeAsk a{r.getNumber(), r.getLifeMs(), {}};
+  for (auto p : r.getParts()) a.parts.emplace_back(p.getPart(), p.getStamp());
+  return a;
+}
+
 Message read(wire::Envelope::Reader e) {
   Message m;
   m.from = e.getFrom().cStr();
   switch (e.which()) {
-    case wire::Envelope::HELLO:
-      m.body = Hello{};
-      break;
     case wire::Envelope::ASK:
       m.body = Ask{e.getAsk().getNumber(), e.getAsk().getCancel(), e.getAsk().getJob().cStr()};
       break;
@@ -112,14 +119,11 @@
     case wire::Envelope::MOVE:
       m.body = Move{e.getMove().getMachine().cStr(), e.getMove().getPart()};
       break;
-    case wire::Envelope::UNASSIGNED:
-      m.body = Unassigned{names(e.getUnassigned().getMachines())};
-      break;
     case wire::Envelope::GONE:
       m.body = Gone{names(e.getGone().getMachines())};
       break;
     case wire::Envelope::PLEDGE_ASK:
-      m.body = PledgeAsk{e.getPledgeAsk().getNumber(), e.getPledgeAsk().getLifeMs()};
+      m.body = read_pledge_ask(e.getPledgeAsk());
       break;
     case wire::Envelope::PLEDGE:
       m.body = Pledge{e.getPledge().getNumber(), e.getPledge().getGiven()};
--- a/src/codec/mesh.h
+++ b/src/codec/mesh.h
@@ -9,7 +9,6 @@
 
 namespace eiderreel::mesh {
 
-struct Hello {};
 struct Ask {
   std::uint64_t number = 0;
   bool cancel = false;
@@ -27,22 +26,20 @@
   std::string machine;
   int part = -1;
 };
-struct Unassigned {
-  std::vector<std::string> machines;
-};
 struct Gone {  // machines that the cloud has said to be gone
   std::vector<std::string> machines;
 };
 struct PledgeAsk {
   std::uint64_t number = 0;
   Ms life = 0;
+  std::vector<std::pair<int, std::uint64_t>> parts;  // the sender's, with their stamps
 };
 struct Pledge {
   std::uint64_t number = 0;
   bool given = false;
 };
 
-using Body = std::variant<Hello, Ask, Answer, Status, Move, Unassigned, PledgeAsk, Pledge, Gone>;
+using Body = std::variant<Ask, Answer, Status, Move, PledgeAsk, Pledge, Gone>;
 struct Message {
   std::string from;
   Body body;
--- a/src/constants.h
+++ b/src/constants.h
@@ -24,6 +24,13 @@
 constexpr Ms kHandBackAfterMs = 4000;   // ms; a home node must have been up so long
 constexpr Ms kBalanceEveryMs = 2000;    // ms; pace of the leader's advice on machines
 
+constexpr Ms kPledgeMs = 3000;       // ms; a peer's promise not to claim; a fresh process waits
+                                     // it out, so it is short
+constexpr Ms kPledgeEveryMs = 500;   // ms; several tries within one pledge
+constexpr Ms kStateSilentMs = 1500;  // ms; without an answer so long, an outage is likely
+constexpr std::size_t kPledgesOpen = 16;  // questions whose sending time is kept
+constexpr Ms kFinishRetryMs = 1000;       // ms; pause before a final commit is tried again
+
 // --- workers ------------------------------------------------------------------------------
 constexpr Ms kReportGiveUpMs = 4000;    // ms; workers drop later answers (protocol)
 constexpr Ms kParkBusyMs = 400;         // ms; under the half second a worker waits between reports
@@ -80,7 +87,13 @@
 constexpr double kBaseShare = 0.5;        // share of machines dealt out by guarantees alone
 constexpr Ms kFleetEveryMs = 1000;        // ms
 constexpr Ms kNeedLastsMs = 2000;         // ms; a lack of room must last before it is rented for
-constexpr Ms kIdleReturnMs = 45000;       // ms; an idle machine is kept about a boot time
+constexpr Ms kIdleReturnMs = 20000;       // ms; an idle machine is soon missed nowhere
+constexpr Ms kIdleKeepMs = 180000;        // ms; the same where slack is short beside a boot
+constexpr double kThriftBoots = 2.0;      // times the boot time; slack above it allows thrift
+constexpr double kPatience = 0.1;         // share of the slack that a queue may last
+constexpr double kSlackWeight = 0.1;      // share of a new job in the usual slack
+constexpr Ms kSpareAfterMs = 4000;        // ms; room must be left over so long
+constexpr Ms kSpareNextMs = 500;          // ms; then one machine after the other
 constexpr Ms kNoCapacityPauseMs = 15000;  // ms; before a refused type and zone is asked again
 constexpr double kStuckBoots = 4.0;       // times ready_s before a starting machine is returned
 constexpr int kRentMost = 4;              // machines in one request; spreads over zones
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -149,6 +149,10 @@
       ++j->done;
     }
   // Oldest first within a rank: the stamp of acceptance is the age.
+  if (spec.deadline_s && spec.kind == Kind::array) {
+    const double slack = std::max(0.0, *spec.deadline_s - spec.estimate_s);
+    slack_s_ = slack_s_ == 0 ? slack : slack_s_ + (slack - slack_s_) * constants::kSlackWeight;
+  }
   auto pos =
       std::upper_bound(order_.begin(), order_.end(), j.get(), [](const Job* a, const Job* b) {
         return a->spec.rank != b->spec.rank ? a->spec.rank > b->spec.rank : a->stamp < b->stamp;
@@ -436,6 +440,7 @@
     m->gone = true;
     lost.push_back(id);
   }
+  choose_spare(now);
   return lost;
 }
 
@@ -478,6 +483,55 @@
   });
 }
 
+bool Part::room_elsewhere(const Machine& m, const Job& j, double unproven) const {
+  return std::any_of(machines_.begin(), machines_.end(), [&](const auto& e) {
+    const Machine& o = *e.second;
+    return &o != &m && !o.spare && o.proven && o.reported && !o.gone && !o.leaving && o.type &&
+           !o.taken_at && o.shun_until <= now_ && fits(o, j, unproven);
+  });
+}
+
+// With nothing waiting and more than a machine's worth of free room for a while, the emptiest
+// machine without services is spared: it runs empty, and the leader may move or return it.
+void Part::choose_spare(Ms now) {
+  double free = 0, largest = 0;
+  Machine* emptiest = nullptr;
+  for (auto& [id, m] : machines_) {
+    if (!m->type || !m->reported || m->gone || m->leaving || m->spare) continue;
+    free += m->type->cpus - m->cpus;
+    largest = std::max(largest, m->type->cpus);
+    const bool service = std::any_of(m->tasks.begin(), m->tasks.end(), [](const auto& t) {
+      return t.second.job && t.second.job->spec.kind == Kind::service;
+    });
+    if (service) continue;
+    if (!emptiest || m->cpus < emptiest->cpus ||
+        (m->cpus == emptiest->cpus && m->id > emptiest->id))
+      emptiest = m.get();
+  }
+  if (has_waiting() || !emptiest ||
+      free - (emptiest->type->cpus - emptiest->cpus) < largest / 2 + emptiest->cpus) {
+    surplus_since_ = now;
+    return;
+  }
+  if (now - surplus_since_ < constants::kSpareAfterMs) return;
+  emptiest->spare = true;
+  surplus_since_ = now - constants::kSpareAfterMs + constants::kSpareNextMs;
+}
+
+std::vector<std::string> Part::fullest_first(std::vector<std::string> ids) const {
+  auto key = [this](const std::string& id) {
+    auto it = machines_.find(id);
+    if (it == machines_.end()) return std::tuple(0L, 0.0);
+    const auto services = std::count_if(
+        it->second->tasks.begin(), it->second->tasks.end(),
+        [](const auto& t) { return t.second.job && t.second.job->spec.kind == Kind::service; });
+    return std::tuple(static_cast<long>(services), it->second->cpus);
+  };
+  std::stable_sort(ids.begin(), ids.end(),
+                   [&](const auto& a, const auto& b) { return key(a) > key(b); });
+  return ids;
+}
+
 void Part::start_one(Machine& m, Job& j, std::vector<Order>& out) {
   std::uint32_t i = j.first_queued;
   while (j.state[i] != State::queued) ++i;
@@ -568,6 +622,8 @@
     for (Job* j : order_) {
       if (!may_start(m, *j, proven, now) || better_elsewhere(m, *j, now)) continue;
       while (j->queued > 0 && fits(m, *j, unproven)) {
+        if (m.spare && room_elsewhere(m, *j, unproven)) break;
+        m.spare = false;
         if (within && team_cpus_[j->team] + j->spec.cpus > teams_[j->team].cpus + kEps) break;
         start_one(m, *j, out);
       }
@@ -597,10 +653,11 @@
   if (!m.proven || m.leaving || !m.type || m.taken_at) return 0;
   // A parked worker cannot tell of a finished task, so only one whose tasks do not finish by
   // themselves waits long. The others wait no longer than a worker would between two reports.
-  bool quiet = std::all_of(m.tasks.begin(), m.tasks.end(), [](const auto& t) {
-    return t.second.job && t.second.job->spec.kind == Kind::service &&
-           t.second.phase == TaskPhase::running;
-  });
+  // One that runs services has their images: the next service should find it waiting.
+  bool quiet = m.tasks.empty() || std::any_of(m.tasks.begin(), m.tasks.end(), [](const auto& t) {
+                 return t.second.job && t.second.job->spec.kind == Kind::service &&
+                        t.second.phase == TaskPhase::running;
+               });
   return quiet ? std::min(constants::kParkIdleMs, limits_.report_ms * 4 / 5)
                : constants::kParkBusyMs;
 }
@@ -637,6 +694,7 @@
     n.waiting_cpus += want;
     if (j->spec.spot) n.waiting_spot_cpus += want;
     if (j->spec.kind == Kind::service) n.waiting_service_cpus += want;
+    n.waiting_core_s += j->queued * j->spec.cpus * j->spec.estimate_s;
   }
   for (const auto& [id, m] : machines_) {
     if (m->gone || !m->reported || !m->type) continue;
@@ -644,6 +702,7 @@
     if (m->proven && m->tasks.empty() && !m->leaving) n.idle.push_back(id);
   }
   std::sort(n.idle.begin(), n.idle.end());
+  n.slack_s = slack_s_;
   return n;
 }
 
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -36,6 +36,8 @@
   double waiting_cpus = 0;       // of tasks that could start now but for room
   double waiting_spot_cpus = 0;  // that part of it that may use spot machines
   double waiting_service_cpus = 0;
+  double waiting_core_s = 0;  // work of the waiting tasks by their owners' estimates
+  double slack_s = 0;         // usual time between a job's estimate and its deadline; 0: unknown
   double used_cpus = 0, used_service_cpus = 0;
   double total_cpus = 0;
   std::vector<std::string> idle;  // machines that hold nothing
@@ -92,6 +94,9 @@
   // Whether a report of this machine may wait for work, and how long.
   Ms park_ms(const std::string& machine) const;
   bool has_waiting() const;
+  // The machines of a list in the order in which they should be asked to take work: those with
+  // services first, then the fullest, so that others run empty and can be given away.
+  std::vector<std::string> fullest_first(std::vector<std::string> machines) const;
   // Tasks to kill by /commands: (machine address, tenure, term, orders).
   struct Kill {
     std::string machine, addr;
@@ -136,7 +141,8 @@
     bool proven = false;  // has reported under our term (or is fresh)
     bool reported = false;
     bool leaving = false;
-    bool gone = false;  // its lease is over; a new tenure must appear
+    bool spare = false;  // takes work only when no other machine can, so that it runs empty
+    bool gone = false;   // its lease is over; a new tenure must appear
     std::uint64_t tenure = 0, tick = 0;
     Ms last_answer = 0;  // the last 200 anyone could have given
     Ms last_report = 0;
@@ -169,6 +175,8 @@
   void drop_all(Machine& m);
   void note_error(Machine& m, Job& j, Ms now);
   bool may_start(const Machine& m, const Job& j, bool proven, Ms now) const;
+  bool room_elsewhere(const Machine& m, const Job& j, double unproven) const;
+  void choose_spare(Ms now);
   bool better_elsewhere(const Machine& m, const Job& j, Ms now) const;
   void start_one(Machine& m, Job& j, std::vector<Order>& out);
   bool preempt_for(Machine& m, Job& j, double unproven, bool by_guarantee, std::vector<Order>& out);
@@ -190,6 +198,8 @@
   std::unordered_map<std::string, std::unique_ptr<Machine>> machines_;
   std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
   std::vector<Job*> order_;  // by rank, then age
+  double slack_s_ = 0;
+  Ms surplus_since_ = 0;
   std::uint64_t counter_ = 0, starts_ = 0, preemptions_ = 0;
   std::map<std::string, std::vector<Order>> kills_;
 };
--- a/tests/standin/world.cc
+++ b/tests/standin/world.cc
@@ -765,6 +765,7 @@
   s.image_gb = 0.5;
   s.spot = true;
   s.estimate_s = run_s;
+  s.deadline_s = run_s + 60;
   run_s_[id] = run_s;
   return s;
 }
