Fill fuller machines first, shed for parts in need, reclaim guarantees in time

A test showed that a preempting answer made room for one task only; now for all that fit. Excluded: too few machines (40 of 40 up), fetches, the state service.

--- a/src/actors/fleet.cc
+++ b/src/actors/fleet.cc
@@ -151,7 +151,7 @@
   for (auto& [to, need] : needs) {
     double want = need.waiting_cpus;
     for (auto& [from, other] : needs) {
-      if (from == to || other.waiting_cpus > 0) continue;
+      if (from == to || other.waiting_cpus > need.waiting_cpus * k::kGiverWaits) continue;
       while (want > 0 && !other.idle.empty()) {
         const std::string id = other.idle.back();
         other.idle.pop_back();
@@ -164,6 +164,24 @@
       }
     }
   }
+  // A part with free room but no idle machine lets some run empty for the one that waits most.
+  for (auto& [to, need] : needs) {
+    double want = need.waiting_cpus;
+    for (auto& [from, other] : needs) {
+      if (from == to || want < k::kShedLeast ||
+          other.waiting_cpus > need.waiting_cpus * k::kGiverWaits)
+        continue;
+      const double give = std::min(want, (other.total_cpus - other.used_cpus) * k::kShedShare);
+      auto p = registrar_.view().parts.find(from);
+      if (give < k::kShedLeast || p == registrar_.view().parts.end()) continue;
+      want -= give;
+      other.used_cpus += give;
+      if (p->second.owner == s_.node)
+        owner_.shed({from, give});
+      else
+        hooks_.send(p->second.owner, mesh::Shed{from, give});
+    }
+  }
 }
 
 // ------------------------------------------------------------------------- rent and return
@@ -173,13 +191,14 @@
   const auto needs = owner_.needs();
   if (static_cast<int>(needs.size()) < s_.parts) return;  // without news nothing is concluded
   double waiting = 0, waiting_spot = 0, waiting_service = 0, work = 0, idle = 0, coming = 0;
-  double total = 0, slack = 0;
+  double total = 0, used = 0, slack = 0;
   for (const auto& [p, n] : needs) {
     waiting += n.waiting_cpus;
     waiting_spot += n.waiting_spot_cpus;
     waiting_service += n.waiting_service_cpus;
     work += n.waiting_core_s;
     total += n.total_cpus;
+    used += n.used_cpus;
     slack = std::max(slack, n.slack_s);
     for (const auto& id : n.idle)
       if (auto m = registrar_.view().machines.find(id); m != registrar_.view().machines.end())
@@ -197,11 +216,16 @@
   const double asked =
       thrift ? std::min(waiting, std::max(left / (slack * k::kPatience) - total, waiting_service))
              : waiting;
+  for (const auto& [p, n] : needs)
+    spdlog::debug(
+        "part need part={} waiting={:.0f} used={:.0f} services={:.0f} total={:.0f} idle={}", p,
+        n.waiting_cpus, n.used_cpus, n.used_service_cpus, n.total_cpus, n.idle.size());
   const double lack = asked - idle - coming;
   spdlog::debug(
-      "fleet asked={:.0f} waiting={:.0f} work={:.0f} idle={:.0f} coming={:.0f} total={:.0f} "
+      "fleet asked={:.0f} waiting={:.0f} work={:.0f} used={:.0f} idle={:.0f} coming={:.0f} "
+      "total={:.0f} "
       "slack={:.1f}",
-      asked, waiting, work, idle, coming, total, slack);
+      asked, waiting, work, used, idle, coming, total, slack);
   if (lack <= 0) {
     short_since_ = 0;
   } else if (short_since_ == 0) {
--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -403,6 +403,10 @@
   registrar_.commit(std::move(c));
 }
 
+void Owner::shed(const mesh::Shed& s) {
+  if (Owned* o = acting_owned(s.part)) o->core->shed(s.cpus, rt_.now());
+}
+
 // --------------------------------------------------------------------------------- jobs
 
 void Owner::job_opened(const std::string& id) {
--- a/src/actors/owner.h
+++ b/src/actors/owner.h
@@ -33,6 +33,7 @@
   void report(const Report& r, Reply reply);
   void ask(const mesh::Ask& a, Reply reply);  // status 0: not entitled to answer
   void move(const mesh::Move& m);
+  void shed(const mesh::Shed& s);
   void peer_status(const std::string& node, const mesh::Status& s);
   void machines_gone(const std::vector<std::string>& machines);
   void job_opened(const std::string& id);
--- a/src/codec/mesh.capnp
+++ b/src/codec/mesh.capnp
@@ -15,6 +15,7 @@
     pledgeAsk @5 :PledgeAsk;
     pledge @6 :Pledge;
     gone @7 :Machines;
+    shed @8 :Shed;
   }
 }
 
@@ -52,6 +53,11 @@
   part @1 :Int16;                 # -1: release it, to be returned
 }
 
+struct Shed {                     # the leader's advice: let machines of this part run empty
+  part @0 :UInt16;
+  cpus @1 :Float64;               # about so many; holds for a few seconds
+}
+
 struct Machines {
   machines @0 :List(Text);
 }
--- a/src/codec/mesh.cc
+++ b/src/codec/mesh.cc
@@ -61,6 +61,11 @@
   void operator()(const Gone& m) {
     put_names(e.initGone().initMachines(static_cast<unsigned>(m.machines.size())), m.machines);
   }
+  void operator()(const Shed& m) {
+    auto b = e.initShed();
+    b.setPart(static_cast<std::uint16_t>(m.part));
+    b.setCpus(m.cpus);
+  }
   void operator()(const PledgeAsk& m) {
     auto b = e.initPledgeAsk();
     b.setNumber(m.number);
@@ -122,6 +127,9 @@
     case wire::Envelope::GONE:
       m.body = Gone{names(e.getGone().getMachines())};
       break;
+    case wire::Envelope::SHED:
+      m.body = Shed{e.getShed().getPart(), e.getShed().getCpus()};
+      break;
     case wire::Envelope::PLEDGE_ASK:
       m.body = read_pledge_ask(e.getPledgeAsk());
       break;
--- a/src/codec/mesh.h
+++ b/src/codec/mesh.h
@@ -29,6 +29,10 @@
 struct Gone {  // machines that the cloud has said to be gone
   std::vector<std::string> machines;
 };
+struct Shed {
+  int part = 0;
+  double cpus = 0;
+};
 struct PledgeAsk {
   std::uint64_t number = 0;
   Ms life = 0;
@@ -39,7 +43,7 @@
   bool given = false;
 };
 
-using Body = std::variant<Ask, Answer, Status, Move, PledgeAsk, Pledge, Gone>;
+using Body = std::variant<Ask, Answer, Status, Move, PledgeAsk, Pledge, Gone, Shed>;
 struct Message {
   std::string from;
   Body body;
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -1,7 +1,6 @@
 #include "core/part.h"
 
 #include <cmath>
-#include <tuple>
 
 namespace eiderreel {
 namespace {
@@ -503,15 +502,26 @@
   return !j.bad_machines.count(m.id) || j.bad_machines.size() >= machines_.size();
 }
 
-// A service waits a moment for a machine that has its image: the fetch takes far longer.
+// A service waits a moment for a machine that has its image, since the fetch takes far longer,
+// and a shorter one for a machine that runs services already, so that others can run empty.
 bool Part::better_elsewhere(const Machine& m, const Job& j, Ms now) const {
-  if (j.spec.kind != Kind::service || m.images.count(j.spec.image) ||
-      now - j.waiting_since >= constants::kImageWaitMs)
+  if (j.spec.kind != Kind::service) return false;
+  const Ms waited = now - j.waiting_since;
+  const bool image = m.images.count(j.spec.image) > 0;
+  // Joining pays only where a report of such a machine is likely within the wait.
+  const bool service =
+      std::get<1>(fullness(m)) || limits_.report_ms > 2 * constants::kServicePackMs;
+  if (waited >= (image ? constants::kServicePackMs : constants::kImageWaitMs) || (image && service))
     return false;
   return std::any_of(machines_.begin(), machines_.end(), [&](const auto& e) {
     const Machine& o = *e.second;
-    return o.images.count(j.spec.image) && o.type && !o.gone && !o.leaving && !o.taken_at &&
-           o.shun_until <= now && allowed(j.spec, *o.type, o.zone, o.spot);
+    if (&o == &m || !o.images.count(j.spec.image) || !o.type || o.gone || o.leaving || o.taken_at ||
+        o.shun_until > now || !allowed(j.spec, *o.type, o.zone, o.spot))
+      return false;
+    double held = 0;  // by services, which give no room
+    for (const auto& [key, t] : o.tasks)
+      if (t.job && t.job->spec.kind == Kind::service) held += t.cpus;
+    return held + j.spec.cpus <= o.type->cpus && (!image || held > 0);
   });
 }
 
@@ -550,20 +560,58 @@
   surplus_since_ = now - constants::kSpareAfterMs + constants::kSpareNextMs;
 }
 
+void Part::shed(double cpus, Ms now) {
+  std::vector<Machine*> candidates;
+  for (auto& [id, m] : machines_)
+    if (m->proven && m->reported && !m->gone && !m->leaving && m->type &&
+        !std::get<1>(fullness(*m)))
+      candidates.push_back(m.get());
+  // Those that run empty already first, then the emptiest.
+  std::sort(candidates.begin(), candidates.end(), [now](const Machine* a, const Machine* b) {
+    return std::tuple(a->shed_until < now, a->cpus, a->id) <
+           std::tuple(b->shed_until < now, b->cpus, b->id);
+  });
+  for (Machine* m : candidates) {
+    if (m->type->cpus > cpus) continue;
+    cpus -= m->type->cpus;
+    m->shed_until = now + constants::kShedMs;
+  }
+}
+
+// The greater, the sooner a machine is filled: busy before idle, with services before without,
+// large before small, full before empty.
+std::tuple<bool, bool, double, double, std::string> Part::fullness(const Machine& m) {
+  const bool service = std::any_of(m.tasks.begin(), m.tasks.end(), [](const auto& t) {
+    return t.second.job && t.second.job->spec.kind == Kind::service;
+  });
+  return {!m.tasks.empty(), service, m.type ? m.type->cpus : 0, m.cpus, m.id};
+}
+
 std::vector<std::string> Part::fullest_first(std::vector<std::string> ids) const {
-  auto key = [this](const std::string& id) {
-    auto it = machines_.find(id);
-    if (it == machines_.end()) return std::tuple(0L, 0.0);
-    const auto services = std::count_if(
-        it->second->tasks.begin(), it->second->tasks.end(),
-        [](const auto& t) { return t.second.job && t.second.job->spec.kind == Kind::service; });
-    return std::tuple(static_cast<long>(services), it->second->cpus);
-  };
-  std::stable_sort(ids.begin(), ids.end(),
-                   [&](const auto& a, const auto& b) { return key(a) > key(b); });
+  std::erase_if(ids, [this](const std::string& id) { return !machines_.count(id); });
+  std::sort(ids.begin(), ids.end(), [this](const auto& a, const auto& b) {
+    return fullness(*machines_.at(a)) > fullness(*machines_.at(b));
+  });
   return ids;
 }
 
+// Free room for the job on machines that are to be filled before this one. What fits there waits
+// a moment for their reports, so that other machines run empty: only an idle machine can be given
+// to a part in need, or returned.
+double Part::room_on_fuller(const Machine& m, const Job& j) const {
+  const auto here = fullness(m);
+  double room = 0;
+  for (const auto& [id, o] : machines_) {
+    if (o.get() == &m || !o->proven || !o->reported || o->gone || o->leaving || !o->type ||
+        o->taken_at || o->shun_until > now_ || o->shed_until > now_ ||
+        o->cpus + j.spec.cpus > o->type->cpus || !allowed(j.spec, *o->type, o->zone, o->spot) ||
+        fullness(*o) < here)
+      continue;
+    room += o->type->cpus - o->cpus;
+  }
+  return room;
+}
+
 void Part::start_one(Machine& m, Job& j, std::vector<Order>& out) {
   std::uint32_t i = j.first_queued;
   while (j.state[i] != State::queued) ++i;
@@ -589,9 +637,14 @@
 bool Part::preempt_for(Machine& m, Job& j, double unproven, bool by_guarantee,
                        std::vector<Order>& out) {
   std::vector<std::pair<TaskKey, Bound*>> victims;
-  double cpus = m.type->cpus - m.cpus, gpus = m.type->gpus - m.gpus;
-  double memory = m.type->memory_gb - m.memory_gb;
-  if (cpus < -kEps) return false;  // an earlier answer's stops are not seen yet
+  // What is told to stop without saving goes before the starts of the same answer.
+  double cpus = m.type->cpus, gpus = m.type->gpus, memory = m.type->memory_gb;
+  for (const auto& [key, b] : m.tasks) {
+    if (b.killing && b.grace_s == 0) continue;
+    cpus -= b.cpus;
+    gpus -= b.gpus;
+    memory -= b.memory_gb;
+  }
   std::vector<std::pair<TaskKey, Bound*>> candidates;
   for (auto& [key, b] : m.tasks)
     if (may_stop(b, j, by_guarantee)) candidates.emplace_back(key, &b);
@@ -644,16 +697,20 @@
   if (it == machines_.end()) return out;
   Machine& m = *it->second;
   if (!m.proven || !m.reported || m.gone || m.leaving || !m.type || m.taken_at ||
-      m.shun_until > now || holds_unknown(m))
+      m.shun_until > now || m.shed_until > now || holds_unknown(m))
     return out;
   const bool proven = all_proven();
   const double unproven = unproven_cpus();
+  const Ms pack_ms = std::min(constants::kPackWaitMs, limits_.report_ms * 5 / 4);
   // Work within a guarantee goes first, then borrowing; each by rank, then oldest. The tasks of
   // a job are alike, so they are decided together.
   for (bool within : {true, false}) {
     for (Job* j : order_) {
       if (!may_start(m, *j, proven, now) || better_elsewhere(m, *j, now)) continue;
+      const bool packs = j->spec.kind == Kind::array && now - j->waiting_since < pack_ms;
+      const double elsewhere = packs ? room_on_fuller(m, *j) : 0;
       while (j->queued > 0 && fits(m, *j, unproven)) {
+        if (packs && j->queued * j->spec.cpus <= elsewhere) break;
         if (m.spare && room_elsewhere(m, *j, unproven)) break;
         m.spare = false;
         if (within && team_cpus_[j->team] + j->spec.cpus > teams_[j->team].cpus + kEps) break;
@@ -663,13 +720,15 @@
   }
   // What still waits, after a moment in which another machine may have had room: it may stop
   // work of lower rank, and, within its guarantee, what other teams have borrowed.
+  const Ms reclaim_after =
+      std::max(constants::kReclaimSoonestMs, constants::kReclaimByMs - limits_.report_ms * 5 / 4);
   for (Job* j : order_) {
     if (!may_start(m, *j, proven, now) || better_elsewhere(m, *j, now)) continue;
     const Ms waited = now - j->waiting_since;
     if (j->spec.rank > Rank::standard && waited >= constants::kPreemptAfterMs)
       while (j->queued > 0 && preempt_for(m, *j, unproven, false, out)) {
       }
-    if (waited >= constants::kReclaimAfterMs)
+    if (waited >= reclaim_after)
       while (j->queued > 0 && team_cpus_[j->team] + j->spec.cpus <= teams_[j->team].cpus + kEps &&
              preempt_for(m, *j, unproven, true, out)) {
       }
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -60,6 +61,9 @@
   void end_leave(const std::string& id);
   bool idle(const std::string& id) const;
 
+  // Lets machines of about so many CPUs run empty: for a few seconds they take no new work.
+  void shed(double cpus, Ms now);
+
   // --- jobs ---
   // `age`: how long ago it was accepted. `done`: indexes recorded as done. `older`: accepted before
   // our claim, so its tasks may run on any machine we have not heard of yet.
@@ -142,6 +146,7 @@
     bool proven = false;  // has reported under our term (or is fresh)
     bool reported = false;
     bool leaving = false;
+    Ms shed_until = 0;
     bool spare = false;  // takes work only when no other machine can, so that it runs empty
     bool gone = false;   // its lease is over; a new tenure must appear
     std::uint64_t tenure = 0, tick = 0;
@@ -180,6 +185,8 @@
   void drop_all(Machine& m);
   void note_error(Machine& m, Job& j, Ms now);
   bool may_start(const Machine& m, const Job& j, bool proven, Ms now) const;
+  static std::tuple<bool, bool, double, double, std::string> fullness(const Machine& m);
+  double room_on_fuller(const Machine& m, const Job& j) const;
   bool room_elsewhere(const Machine& m, const Job& j, double unproven) const;
   void choose_spare(Ms now);
   void reorder(Ms now);
