Rent for the whole queue, without taking off what is done during a boot

Cause (incident inc-e1ac): from 348 to 411 s 1000 to 1600 CPUs waited and nothing was rented, since the queue was thought to be worked off during a boot; but as much was added.

--- a/src/actors/fleet.cc
+++ b/src/actors/fleet.cc
@@ -209,12 +209,12 @@
   double boot = 0;
   for (const auto& t : types_) boot = std::max(boot, t.boot_s);
   // Where the usual slack before a deadline is long beside a boot time, thrift costs little:
-  // enough is rented for what is left of the queue after a boot to be worked off within a part
-  // of the slack. Services wait for nothing. Elsewhere all that waits is rented for.
+  // enough is rented for the queue to be worked off within a part of the slack. (What is done
+  // during a boot is not taken off: while work keeps coming, as much is added.) Services wait for
+  // nothing. Elsewhere all that waits is rented for.
   const bool thrift = slack >= k::kThriftBoots * boot;
-  const double left = std::max(0.0, work - total * boot);
   const double asked =
-      thrift ? std::min(waiting, std::max(left / (slack * k::kPatience) - total, waiting_service))
+      thrift ? std::min(waiting, std::max(work / (slack * k::kPatience) - total, waiting_service))
              : waiting;
   for (const auto& [p, n] : needs)
     spdlog::debug(
