--- a/src/actors/desk.cc
+++ b/src/actors/desk.cc
@@ -10,13 +10,6 @@
 
 void refuse(const Reply& reply, const char* why) { reply(503, codec::error_body(why)); }
 
-Reply counted(std::map<int, std::uint64_t>& by_status, Reply reply) {
-  return [&by_status, reply = std::move(reply)](int status, std::string body) {
-    ++by_status[status];
-    reply(status, std::move(body));
-  };
-}
-
 }  // namespace
 
 Desk::Desk(Runtime& rt, const Settings& s, Registrar& registrar, Owner& owner)
@@ -27,6 +20,15 @@
       // Answers may come late, even to a process started since: no number is used twice.
       next_ask_(static_cast<std::uint64_t>(rt.random() * 9e15)) {}
 
+Reply Desk::counted(std::map<int, std::uint64_t>& by_status, Latency& latency, Reply reply) {
+  return [this, &by_status, &latency, began = rt_.now(), reply = std::move(reply)](
+             int status, std::string body) {
+    ++by_status[status];
+    latency.add(rt_.now() - began);
+    reply(status, std::move(body));
+  };
+}
+
 std::string Desk::can_never_run(const JobSpec& j) const {
   const Team* team = nullptr;
   for (const auto& t : s_.teams)
@@ -43,7 +45,7 @@
 }
 
 void Desk::submit(const std::string& body, Reply r) {
-  Reply reply = counted(counters_.submits, std::move(r));
+  Reply reply = counted(counters_.submits, counters_.submit_latency, std::move(r));
   auto parsed = codec::parse_job(body);
   if (!parsed.spec) return reply(400, codec::error_body(parsed.error));
   JobSpec& j = *parsed.spec;
@@ -75,14 +77,14 @@
 }
 
 void Desk::poll(const std::string& id, Reply r) {
-  Reply reply = counted(counters_.polls, std::move(r));
+  Reply reply = counted(counters_.polls, counters_.poll_latency, std::move(r));
   if (!codec::valid_job_id(id)) return reply(404, codec::error_body("no such job"));
   if (!registrar_.view().ready) return refuse(reply, "not ready yet");
   look_up(id, false, std::move(reply));
 }
 
 void Desk::cancel(const std::string& id, Reply r) {
-  Reply reply = counted(counters_.cancels, std::move(r));
+  Reply reply = counted(counters_.cancels, counters_.cancel_latency, std::move(r));
   if (!codec::valid_job_id(id)) return reply(404, codec::error_body("no such job"));
   if (!registrar_.view().ready) return refuse(reply, "not ready yet");
   look_up(id, true, std::move(reply));
--- a/src/actors/desk.h
+++ b/src/actors/desk.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 
+#include "actors/metrics.h"
 #include "actors/owner.h"
 #include "actors/registrar.h"
 
@@ -16,6 +17,7 @@
   };
   struct Counters {
     std::map<int, std::uint64_t> submits, polls, cancels;  // by status
+    Latency submit_latency, poll_latency, cancel_latency;
   };
 
   Desk(Runtime& rt, const Settings& s, Registrar& registrar, Owner& owner);
@@ -32,6 +34,7 @@
   const Counters& counters() const { return counters_; }
 
  private:
+  Reply counted(std::map<int, std::uint64_t>& by_status, Latency& latency, Reply reply);
   // Asks the owner, here or over the mesh; status 0 when it cannot be had.
   void ask_owner(const std::string& id, bool cancel, Reply reply);
   void look_up(const std::string& id, bool cancel, Reply reply);
--- /dev/null
+++ b/src/actors/metrics.cc
@@ -0,0 +1,191 @@
+#include "actors/metrics.h"
+
+#include <fmt/format.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <map>
+
+#include "actors/node.h"
+
+namespace eiderreel {
+namespace {
+
+namespace k = constants;
+
+std::size_t resident_bytes() {
+  std::size_t pages = 0;
+  if (std::FILE* f = std::fopen("/proc/self/statm", "r")) {
+    if (std::fscanf(f, "%*u %zu", &pages) != 1) pages = 0;
+    std::fclose(f);
+  }
+  return pages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+class Text {
+ public:
+  void type(const char* name, const char* kind, const char* help) {
+    out_ += fmt::format("# HELP eiderreel_{0} {2}\n# TYPE eiderreel_{0} {1}\n", name, kind, help);
+  }
+  template <class V>
+  void value(const char* name, const std::string& labels, V v) {
+    out_ += fmt::format("eiderreel_{}{} {}\n", name, labels.empty() ? "" : "{" + labels + "}", v);
+  }
+  void by_status(const char* name, const char* help, const std::map<int, std::uint64_t>& counts,
+                 const std::string& labels = "") {
+    type(name, "counter", help);
+    status_lines(name, counts, labels);
+  }
+  void status_lines(const char* name, const std::map<int, std::uint64_t>& counts,
+                    const std::string& labels) {
+    for (const auto& [status, n] : counts)
+      value(name, labels + (labels.empty() ? "" : ",") + fmt::format("status=\"{}\"", status), n);
+  }
+  std::string& out() { return out_; }
+
+ private:
+  std::string out_;
+};
+
+}  // namespace
+
+Latency::Latency()
+    : histogram_(boost::histogram::make_histogram(
+          Axis(k::kLatencyBuckets, k::kLatencyLowMs, k::kLatencyHighMs))) {}
+
+void Latency::add(Ms ms) {
+  histogram_(static_cast<double>(std::max<Ms>(ms, 1)));
+  sum_ms_ += static_cast<double>(ms);
+}
+
+std::string Latency::text(const std::string& name, const std::string& labels) const {
+  std::string out;
+  double seen = histogram_.at(-1);
+  const auto& axis = histogram_.axis(0);
+  for (int i = 0; i < axis.size(); ++i) {
+    seen += histogram_.at(i);
+    out += fmt::format("eiderreel_{}_bucket{{{},le=\"{:.4g}\"}} {}\n", name, labels,
+                       axis.bin(i).upper() / 1000, seen);
+  }
+  seen += histogram_.at(axis.size());
+  out += fmt::format(
+      "eiderreel_{0}_bucket{{{1},le=\"+Inf\"}} {2}\neiderreel_{0}_sum{{{1}}} {3}\n"
+      "eiderreel_{0}_count{{{1}}} {2}\n",
+      name, labels, seen, sum_ms_ / 1000);
+  return out;
+}
+
+std::string metrics_text(const Node& node) {
+  Text t;
+  const View& v = node.registrar().view();
+  t.type("ready", "gauge", "1 when this node serves users");
+  t.value("ready", "", node.desk().ready() ? 1 : 0);
+  t.type("open_jobs", "gauge", "accepted jobs that are not final, of all parts");
+  t.value("open_jobs", "", v.jobs.size());
+  t.type("machines", "gauge", "machines assigned to a part, of all parts");
+  t.value("machines", "", v.machines.size());
+  t.type("part_term", "gauge", "term of each part owned here");
+  for (const auto& [part, p] : node.owner().parts())
+    t.value("part_term", fmt::format("part=\"{}\"", part), p->term());
+  t.type("part_jobs", "gauge", "open jobs of each part owned here, by phase");
+  for (const auto& [part, p] : node.owner().parts()) {
+    const auto c = p->count();
+    t.value("part_jobs", fmt::format("part=\"{}\",phase=\"queued\"", part), c.jobs_queued);
+    t.value("part_jobs", fmt::format("part=\"{}\",phase=\"running\"", part), c.jobs_running);
+  }
+  t.type("part_tasks", "gauge", "tasks of open jobs of each part owned here, by state");
+  for (const auto& [part, p] : node.owner().parts()) {
+    const auto c = p->count();
+    t.value("part_tasks", fmt::format("part=\"{}\",state=\"queued\"", part), c.queued);
+    t.value("part_tasks", fmt::format("part=\"{}\",state=\"bound\"", part), c.bound);
+    t.value("part_tasks", fmt::format("part=\"{}\",state=\"running\"", part), c.running);
+    t.value("part_tasks", fmt::format("part=\"{}\",state=\"done\"", part), c.done);
+  }
+  const auto& o = node.owner().counters();
+  auto counter = [&](const char* name, const char* help, std::uint64_t n) {
+    t.type(name, "counter", help);
+    t.value(name, "", n);
+  };
+  counter("starts_total", "starts sent in answers to reports", o.starts);
+  counter("preemptions_total", "tasks stopped to make room", o.preemptions);
+  counter("takeovers_total", "parts claimed", o.claims);
+  counter("hand_backs_total", "parts handed back", o.handed_back);
+  counter("reports_total", "reports received", o.reports);
+  counter("stale_reports_total", "reports late, repeated or under a higher term", o.stale_reports);
+  counter("parked_reports_total", "reports that waited for work", o.parked);
+  counter("leases_over_total", "machines given up by their lease", o.leases_over);
+  const auto& f = node.fleet().counters();
+  counter("rented_total", "machines rented", f.rented);
+  counter("returned_total", "machines returned", f.returned);
+  t.by_status("state_requests_total", "requests to the state service by status, 0: no answer",
+              node.registrar().counters().replies);
+  counter("state_refused_here_total", "requests over our own share of the state service's limits",
+          node.registrar().counters().refused_here);
+  t.by_status("cloud_requests_total", "requests to the cloud by status, 0: no answer", f.replies);
+  const auto& d = node.desk().counters();
+  t.by_status("user_requests_total", "answers to users by kind and status", d.submits,
+              "kind=\"submit\"");
+  t.status_lines("user_requests_total", d.polls, "kind=\"poll\"");
+  t.status_lines("user_requests_total", d.cancels, "kind=\"cancel\"");
+  t.type("user_latency_seconds", "histogram", "from a user's request to its answer");
+  t.out() += d.submit_latency.text("user_latency_seconds", "kind=\"submit\"");
+  t.out() += d.poll_latency.text("user_latency_seconds", "kind=\"poll\"");
+  t.out() += d.cancel_latency.text("user_latency_seconds", "kind=\"cancel\"");
+  t.type("resident_bytes", "gauge", "memory held by the process");
+  t.value("resident_bytes", "", resident_bytes());
+  return t.out();
+}
+
+std::string status_json(const Node& node) {
+  rapidjson::StringBuffer b;
+  rapidjson::Writer<rapidjson::StringBuffer> w(b);
+  const View& v = node.registrar().view();
+  auto number = [&](const char* key, double n) {
+    w.Key(key);
+    w.Double(n);
+  };
+  auto count = [&](const char* key, std::uint64_t n) {
+    w.Key(key);
+    w.Uint64(n);
+  };
+  w.StartObject();
+  w.Key("node");
+  w.String(node.settings().node.c_str());
+  w.Key("ready");
+  w.Bool(node.desk().ready());
+  count("open_jobs", v.jobs.size());
+  count("machines", v.machines.size());
+  count("resident_bytes", resident_bytes());
+  w.Key("parts");
+  w.StartArray();
+  const auto needs = node.owner().needs();
+  const auto own = node.owner().parts();
+  for (int part = 0; part < node.settings().parts; ++part) {
+    w.StartObject();
+    count("part", static_cast<std::uint64_t>(part));
+    auto entry = v.parts.find(part);
+    w.Key("owner");
+    w.String(entry == v.parts.end() ? "" : entry->second.owner.c_str());
+    count("term", entry == v.parts.end() ? 0 : entry->second.stamp);
+    if (auto n = needs.find(part); n != needs.end()) {
+      number("waiting_cpus", n->second.waiting_cpus);
+      number("used_cpus", n->second.used_cpus);
+      number("total_cpus", n->second.total_cpus);
+      count("idle_machines", n->second.idle.size());
+    }
+    if (auto p = own.find(part); p != own.end()) {
+      const auto c = p->second->count();
+      count("jobs", c.jobs_queued + c.jobs_running);
+      count("queued_tasks", c.queued);
+      count("running_tasks", c.running);
+    }
+    w.EndObject();
+  }
+  w.EndArray();
+  w.EndObject();
+  return b.GetString();
+}
+
+}  // namespace eiderreel
--- a/src/actors/node.cc
+++ b/src/actors/node.cc
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include "actors/metrics.h"
+
 namespace eiderreel {
 
 namespace k = constants;
@@ -93,6 +95,10 @@
     if (!only("GET")) return;
     return desk_.ready() ? reply(200, "{}") : reply(503, codec::error_body("not ready yet"));
   }
+  if (path == "/metrics" || path == "/status") {
+    if (!only("GET")) return;
+    return reply(200, path == "/metrics" ? metrics_text(*this) : status_json(*this));
+  }
   if (path == "/v1/jobs") {
     if (!only("POST")) return;
     return desk_.submit(body, std::move(reply));
--- a/src/actors/node.h
+++ b/src/actors/node.h
@@ -21,6 +21,7 @@
   // A frame from a peer.
   void frame(const std::string& bytes);
 
+  const Settings& settings() const { return s_; }
   const Registrar& registrar() const { return registrar_; }
   const Owner& owner() const { return owner_; }
   const Desk& desk() const { return desk_; }
--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -295,6 +295,7 @@
 }
 
 void Owner::answer(Owned& o, const std::string& machine, std::vector<Order> orders, Reply reply) {
+  counters_.preemptions += o.core->take_preemptions();
   for (const auto& order : orders)
     if (order.verb == Verb::launch) {
       ++counters_.starts;
--- a/src/actors/owner.h
+++ b/src/actors/owner.h
@@ -23,6 +23,7 @@
   struct Counters {
     std::uint64_t claims = 0, handed_back = 0, reports = 0, stale_reports = 0, parked = 0;
     std::uint64_t starts = 0, leases_over = 0;
+    std::uint64_t preemptions = 0;
   };
 
   Owner(Runtime& rt, const Settings& s, Registrar& registrar);
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -9,6 +9,7 @@
 
 #include "actors/node.h"
 #include "actors/settings.h"
+#include "cli/status.h"
 #include "net/loop.h"
 
 namespace {
@@ -81,6 +82,11 @@
   serve_cmd->add_option("--config", config, "the platform's settings file (TOML)")->required();
   auto* check_cmd = app.add_subcommand("check", "check a settings file and say what is wrong");
   check_cmd->add_option("--config", config, "the platform's settings file (TOML)")->required();
+  auto* status_cmd = app.add_subcommand("status", "show what a running controller says of itself");
+  std::string addr;
+  bool json = false;
+  status_cmd->add_option("--addr", addr, "its api_addr, IP:PORT")->required();
+  status_cmd->add_flag("--json", json, "print JSON");
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
@@ -88,5 +94,6 @@
     return code == 0 ? 0 : kExitSettings;
   }
   if (*check_cmd) return check(config);
+  if (*status_cmd) return cli::status(addr, json);
   return serve(config);
 }
--- /dev/null
+++ b/src/cli/status.cc
@@ -0,0 +1,82 @@
+#include "cli/status.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <fmt/format.h>
+#include <rapidjson/document.h>
+
+#include <iostream>
+#include <memory>
+
+#include "constants.h"
+#include "net/loop.h"
+
+namespace eiderreel::cli {
+namespace {
+
+constexpr int kFailed = 1;
+
+int fail(const std::string& addr, const std::string& what) {
+  std::cerr << "eiderreel status: " << addr << ": " << what << "\n";
+  return kFailed;
+}
+
+std::string cell(const rapidjson::Value& row, const char* name) {
+  auto it = row.FindMember(name);
+  if (it == row.MemberEnd()) return "-";  // another node's to tell
+  if (it->value.IsString()) return it->value.GetStringLength() ? it->value.GetString() : "none";
+  return fmt::format("{:.0f}", it->value.GetDouble());
+}
+
+bool print_table(const rapidjson::Document& d) {
+  if (!d.IsObject() || !d.HasMember("node") || !d["node"].IsString() || !d.HasMember("ready") ||
+      !d["ready"].IsBool() || !d.HasMember("parts") || !d["parts"].IsArray() ||
+      !d.HasMember("open_jobs") || !d["open_jobs"].IsUint64() || !d.HasMember("machines") ||
+      !d["machines"].IsUint64())
+    return false;
+  std::cout << fmt::format("node {}  {}  open jobs {}  machines {}\n\n", d["node"].GetString(),
+                           d["ready"].GetBool() ? "ready" : "not ready", d["open_jobs"].GetUint64(),
+                           d["machines"].GetUint64());
+  const char* const columns[] = {"part",         "owner",         "term",       "jobs",
+                                 "queued_tasks", "running_tasks", "total_cpus", "used_cpus",
+                                 "waiting_cpus", "idle_machines"};
+  for (const char* c : columns) std::cout << fmt::format("{:<15}", c);
+  std::cout << "\n";
+  for (const auto& row : d["parts"].GetArray()) {
+    for (const char* c : columns) std::cout << fmt::format("{:<15}", cell(row, c));
+    std::cout << "\n";
+  }
+  return true;
+}
+
+}  // namespace
+
+int status(const std::string& addr, bool json) {
+  net::Address a;
+  if (!net::parse_address(addr, a)) return fail(addr, "not an address of the form IP:PORT");
+  net::Base base(event_base_new());
+  HttpReply reply;
+  bool answered = false;
+  {
+    net::HttpClient client(base.get(), a);
+    client.send({addr, "GET", "/status", "", constants::kStatusTimeoutMs}, [&](HttpReply r) {
+      reply = std::move(r);
+      answered = true;
+      event_base_loopbreak(base.get());
+    });
+    event_base_dispatch(base.get());
+  }
+  if (!answered || reply.status == 0) return fail(addr, "no answer");
+  if (reply.status != 200) return fail(addr, fmt::format("answered {}", reply.status));
+  rapidjson::Document d;
+  d.Parse(reply.body.c_str());
+  if (d.HasParseError()) return fail(addr, "the answer is not JSON; is this an eiderreel node?");
+  if (json) {
+    std::cout << reply.body << "\n";
+    return 0;
+  }
+  return print_table(d) ? 0 : fail(addr, "the answer is not a status; is this an eiderreel node?");
+}
+
+}  // namespace eiderreel::cli
--- a/src/constants.h
+++ b/src/constants.h
@@ -77,6 +77,11 @@
 constexpr int kIdleConnectionS = 60;         // s; users poll every 5 s, so an idle one is dead
 constexpr std::size_t kPendingMax = 256;     // requests to the state service waiting at once
 
+constexpr int kLatencyBuckets = 12;      // of the histograms in /metrics
+constexpr double kLatencyLowMs = 1;      // ms; steps of a timer
+constexpr double kLatencyHighMs = 8192;  // ms; beyond a user's patience of 5 s
+constexpr Ms kStatusTimeoutMs = 3000;    // ms; `eiderreel status` gives up
+
 // --- mesh ---------------------------------------------------------------------------------
 constexpr Ms kMeshRedialMs = 500;                 // ms
 constexpr Ms kMeshStuckMs = 4000;                 // ms; unsent bytes or a dial without progress
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -619,7 +619,6 @@
   std::uint64_t attempt = (term_of(m.id) << constants::kAttemptBits) + ++counter_;
   bind(m, j, i, attempt, TaskPhase::pulling);
   out.push_back({Verb::launch, j.spec.id, i, attempt, 0});
-  ++starts_;
 }
 
 bool Part::may_stop(const Bound& victim, const Job& j, bool by_guarantee) const {
@@ -770,6 +769,18 @@
   return out;
 }
 
+Part::Count Part::count() const {
+  Count c;
+  for (const Job* j : order_) {
+    ++(j->running > 0 ? c.jobs_running : c.jobs_queued);
+    c.queued += j->queued;
+    c.bound += j->bound;
+    c.running += j->running;
+    c.done += j->done;
+  }
+  return c;
+}
+
 PartNeed Part::need(Ms now) const {
   PartNeed n;
   std::vector<double> room(teams_.size());
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "core/types.h"
@@ -109,7 +110,6 @@
     std::vector<Order> orders;
   };
   std::vector<Kill> take_kills();
-  // Machines that have not seen our term yet: address and last known tenure.
   PartNeed need(Ms now) const;
   int index() const { return index_; }
   std::uint64_t term() const { return term_; }
@@ -121,8 +121,11 @@
   };
   std::vector<MachineView> machine_views(Ms now) const;
   std::size_t job_count() const { return jobs_.size(); }
-  std::uint64_t starts() const { return starts_; }
-  std::uint64_t preemptions() const { return preemptions_; }
+  struct Count {
+    std::size_t jobs_queued = 0, jobs_running = 0, queued = 0, bound = 0, running = 0, done = 0;
+  };
+  Count count() const;
+  std::uint64_t take_preemptions() { return std::exchange(preemptions_, 0); }
 
  private:
   enum class State : std::uint8_t { queued, bound, done, recorded };
@@ -214,7 +217,7 @@
   Ms reordered_ = 0;
   double slack_s_ = 0;
   Ms surplus_since_ = 0;
-  std::uint64_t counter_ = 0, starts_ = 0, preemptions_ = 0;
+  std::uint64_t counter_ = 0, preemptions_ = 0;
   std::map<std::string, std::vector<Order>> kills_;
 };
 
--- a/src/net/loop.cc
+++ b/src/net/loop.cc
@@ -185,7 +185,7 @@
   Address api;
   parse_address(s_.api_addr, api);
   server_ = evhttp_new(base_.get());
-  evhttp_set_max_body_size(server_, static_cast<ev_ssize_t>(k::kBodyMax));
+  evhttp_set_max_body_size(server_, static_cast<ev_ssize_t>(k::kBodyReadMax));
   evhttp_set_max_headers_size(server_, static_cast<ev_ssize_t>(k::kHeadersMax));
   evhttp_set_timeout(server_, static_cast<int>(k::kIdleConnectionS));
   evhttp_set_allowed_methods(server_, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
--- a/tests/answers_test.cc
+++ b/tests/answers_test.cc
@@ -68,6 +68,22 @@
   EXPECT_TRUE(w.checker().broken().empty());
 }
 
+TEST_F(Answers, MetricsAndStatusTellOfJobsPartsAndRequests) {
+  w.submit(w.job("run-1", "red", 2));
+  w.run_until(8);
+  ask("GET", "/metrics");
+  EXPECT_EQ(status, 200);
+  for (const char* line :
+       {"eiderreel_ready 1\n", "eiderreel_open_jobs 1\n", "eiderreel_part_term{part=\"1\"} ",
+        "eiderreel_state_requests_total{status=\"200\"} ",
+        "eiderreel_user_latency_seconds_count{kind=\"poll\"} "})
+    EXPECT_NE(body.find(line), std::string::npos) << line;
+  ask("GET", "/status");
+  EXPECT_EQ(status, 200);
+  EXPECT_NE(body.find("\"open_jobs\":1"), std::string::npos) << body;
+  EXPECT_NE(body.find("\"owner\":\"n2\""), std::string::npos) << body;
+}
+
 // Invariant 9: what cannot be taken is refused at once.
 TEST_F(Answers, DuringAnOutageSubmissionsAreRefusedAtOnce) {
   w.state_outage(true);
