--- a/src/actors/node.cc
+++ b/src/actors/node.cc
@@ -80,6 +80,7 @@
 
 void Node::request(const std::string& method, const std::string& path, const std::string& body,
                    Reply reply) {
+  if (body.size() > k::kBodyMax) return reply(413, codec::error_body("the body is over 64 KiB"));
   auto only = [&](const char* allowed) {
     if (method == allowed) return true;
     reply(405, codec::error_body(std::string("use ") + allowed));
--- a/src/actors/settings.cc
+++ b/src/actors/settings.cc
@@ -84,7 +84,8 @@
   Reader r(file, result.problems);
   toml::parse_result parsed = toml::parse_file(file);
   if (!parsed) {
-    r.problem("line " + std::to_string(parsed.error().source().begin.line),
+    const auto line = parsed.error().source().begin.line;
+    r.problem(line ? "line " + std::to_string(line) : "file",
               std::string(parsed.error().description()));
     return result;
   }
--- a/src/net/loop.cc
+++ b/src/net/loop.cc
@@ -41,6 +41,8 @@
       return "Not Found";
     case 405:
       return "Method Not Allowed";
+    case 413:
+      return "Content Too Large";
     case 421:
       return "Misdirected Request";
     case 422:
--- a/tests/answers_test.cc
+++ b/tests/answers_test.cc
@@ -48,6 +48,8 @@
   EXPECT_EQ(status, 404);
   ask("GET", "/v2");
   EXPECT_EQ(status, 404);
+  ask("POST", "/v1/jobs", std::string(constants::kBodyMax + 1, 'x'));
+  EXPECT_EQ(status, 413);
   ask("DELETE", "/v1/jobs");
   EXPECT_EQ(status, 405);
   ask("POST", "/v1/report", "{}");
