--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -308,8 +308,8 @@
   j.first_queued = std::min(j.first_queued, i);
 }
 
-// The task is proven gone from this machine.
-void Part::release(Machine& m, const TaskKey& key, bool again) {
+// The task is proven gone from this machine. The key is a copy: callers pass one that goes with it.
+void Part::release(Machine& m, TaskKey key, bool again) {
   auto it = m.tasks.find(key);
   if (it == m.tasks.end()) return;
   Bound b = it->second;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -181,7 +181,7 @@
     Ms waiting_since = 0;  // when the first of its queued tasks began to wait
   };
 
-  void release(Machine& m, const TaskKey& key, bool requeue);
+  void release(Machine& m, TaskKey key, bool again);
   void bind(Machine& m, Job& j, std::uint32_t i, std::uint64_t attempt, TaskPhase p);
   void requeue(Job& j, std::uint32_t i);
   void set_done(Job& j, std::uint32_t i);
