--- a/tests/part_test.cc
+++ b/tests/part_test.cc
@@ -290,6 +290,26 @@
   EXPECT_EQ(launches, 4);
 }
 
+// The largest job there may be is queued, recorded in chunks and ended.
+TEST_F(PartTest, AHundredThousandTasks) {
+  part.add_machine("m-1", 12, true, 0);
+  std::vector<std::uint32_t> done;
+  for (std::uint32_t i = 0; i < constants::kTasksMax - 1; ++i) done.push_back(i);
+  part.open_job(job("run-1", constants::kTasksMax), 11, false, done);
+  part.on_report(report("m-1"), 100);
+  auto s = part.place("m-1", 100);
+  ASSERT_EQ(s.size(), 1u);
+  EXPECT_EQ(s[0].index, constants::kTasksMax - 1);
+  part.on_report(
+      report("m-1", {task("run-1", s[0].index, s[0].attempt, TaskPhase::exited, Cause::done)}),
+      200);
+  EXPECT_TRUE(part.complete("run-1"));
+  std::size_t recorded = 0;
+  for (std::uint32_t chunk = 0; chunk * constants::kDoneChunk < constants::kTasksMax; ++chunk)
+    recorded += part.done_in_chunk("run-1", chunk).size();
+  EXPECT_EQ(recorded, constants::kTasksMax);
+}
+
 // Invariant 2: the term is the newest stamp of the part's or the machine's own key.
 TEST_F(PartTest, TermIsTheNewestStamp) {
   part.add_machine("m-1", 5, false, 0);
--- a/tests/standin/world.cc
+++ b/tests/standin/world.cc
@@ -411,6 +411,9 @@
     w->prefix = query(r.path, "prefix");
     w->since = std::stoull(query(r.path, "since"));
     w->reply = done;
+    if (changes_.size() > o_.changes_kept &&
+        changes_[changes_.size() - o_.changes_kept].ledger > w->since + 1)
+      return done({410, "{}"});
     if (HttpReply now = follow_now(w->prefix, w->since); now.status) return done(now);
     watches_.push_back(w);
     schedule(now_ + std::stoll(query(r.path, "wait_ms")), [this, w] {
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -27,6 +27,7 @@
   int machines = 6;  // of 8 CPUs, up from the start
   int capacity = 4;  // further ones for rent, of each kind in each zone
   double boot_s = 6;
+  std::size_t changes_kept = 10000;  // by the state service, for followers
 };
 
 class World {
--- a/tests/trace_test.cc
+++ b/tests/trace_test.cc
@@ -254,6 +254,32 @@
   compare(w, "cloud_troubles");
 }
 
+// A node that missed more changes than the state service keeps reads the keys again, and then
+// knows what was accepted and what ended meanwhile.
+TEST_F(Trace, ANodeMissesMoreChangesThanAreKept) {
+  Options o;
+  o.changes_kept = 4;
+  World w(o);
+  usual_load(w, 5);
+  w.at(9, [&] { w.cut({"n1"}, {"state"}, CutMode::reset); });
+  w.at(12, [&] { w.cancel("run-101"); });
+  for (int i = 1; i <= 6; ++i)
+    w.at(12 + i, [&w, i] { w.submit(w.job("run-" + std::to_string(i), "gold", 1, 1, 2)); });
+  w.at(40, [&] { w.heal(); });
+  w.run_until(60);
+  int status = 0;
+  std::string phase;
+  w.poll_once(1, "run-101", [&](int s, std::string p) {
+    status = s;
+    phase = p;
+  });
+  w.run_until(62);
+  EXPECT_EQ(status, 200);
+  EXPECT_EQ(phase, "cancelled");
+  for (int i = 1; i <= 6; ++i) EXPECT_EQ(w.phase("run-" + std::to_string(i)), "done");
+  compare(w, "changes_missed");
+}
+
 // Overlapping: an outage, a crash within it, machines lost, and a cancellation.
 TEST_F(Trace, TroublesOverlap) {
   World w({});
