--- a/tests/trace_test.cc
+++ b/tests/trace_test.cc
@@ -276,6 +276,7 @@
   w.run_until(62);
   EXPECT_EQ(status, 200);
   EXPECT_EQ(phase, "cancelled");
+  EXPECT_EQ(w.node(1)->registrar().counters().replies.count(410), 1u);
   for (int i = 1; i <= 6; ++i) EXPECT_EQ(w.phase("run-" + std::to_string(i)), "done");
   compare(w, "changes_missed");
 }
