--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -366,7 +366,7 @@
         reply(503, "");
       }
       o.leaving.erase(id);
-      o.core->remove_machine(id, rt_.now());
+      o.core->remove_machine(id);
     }
   }
 }
--- a/src/actors/registrar.h
+++ b/src/actors/registrar.h
@@ -80,9 +80,8 @@
   std::uint64_t grant() const { return grant_; }
   // Invariant 6: counted from the sending of the last good extend, less drift.
   bool grant_alive() const { return grant_ != 0 && rt_.now() < alive_until_; }
-  Ms alive_until() const { return grant_ ? alive_until_ : 0; }
   Ms last_good() const { return last_good_; }
-  // A claim may still land although nobody answered it; then no pledge may be given.
+  // Marks a value as written by this process.
   std::string nonce();
 
   void commit(Commit c);
--- a/src/constants.h
+++ b/src/constants.h
@@ -33,7 +33,6 @@
 constexpr Ms kFinishRetryMs = 1000;       // ms; pause before a final commit is tried again
 
 // --- workers ------------------------------------------------------------------------------
-constexpr Ms kReportGiveUpMs = 4000;    // ms; workers drop later answers (protocol)
 constexpr Ms kParkBusyMs = 400;         // ms; under the half second a worker waits between reports
 constexpr Ms kParkIdleMs = 2500;        // ms; longest parking of an idle machine, well under 4 s
 constexpr Ms kCommandTimeoutMs = 2000;  // ms; kills by /commands; the next report repeats them
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -41,7 +41,7 @@
   m->idle_since = now;
 }
 
-void Part::remove_machine(const std::string& id, Ms) {
+void Part::remove_machine(const std::string& id) {
   auto it = machines_.find(id);
   if (it == machines_.end()) return;
   drop_all(*it->second);
@@ -114,20 +114,6 @@
   return out;
 }
 
-std::vector<Part::MachineView> Part::machine_views(Ms now) const {
-  std::vector<MachineView> out;
-  for (const auto& [id, m] : machines_) {
-    bool service = std::any_of(m->tasks.begin(), m->tasks.end(), [](const auto& t) {
-      return t.second.job && t.second.job->spec.kind == Kind::service;
-    });
-    out.push_back({id, m->addr, m->type_name, m->zone, m->spot, m->reported,
-                   m->proven && m->tasks.empty(), m->shun_until > now, m->taken_at.has_value(),
-                   service, m->tasks.empty() ? now - m->idle_since : 0, now - m->last_report});
-  }
-  std::sort(out.begin(), out.end(), [](const auto& a, const auto& b) { return a.id < b.id; });
-  return out;
-}
-
 // -------------------------------------------------------------------------------- jobs
 
 void Part::open_job(const JobSpec& spec, std::uint64_t stamp, bool older,
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -53,7 +53,7 @@
   // --- machines ---
   // `fresh`: assigned after our claim, so nobody else can have tasks on it.
   void add_machine(const std::string& id, std::uint64_t stamp, bool fresh, Ms now);
-  void remove_machine(const std::string& id, Ms now);  // with proof that all on it is gone
+  void remove_machine(const std::string& id);  // with proof that all on it is gone
   bool has_machine(const std::string& id) const { return machines_.count(id) > 0; }
   std::uint64_t term_of(const std::string& id) const;
   void set_types(const std::vector<MachineType>& types);
@@ -114,12 +114,6 @@
   int index() const { return index_; }
   std::uint64_t term() const { return term_; }
   std::vector<std::string> machine_names() const;
-  struct MachineView {
-    std::string id, addr, type, zone;
-    bool spot, reported, idle, shunned, noticed, has_service;
-    Ms idle_for, silent_for;
-  };
-  std::vector<MachineView> machine_views(Ms now) const;
   std::size_t job_count() const { return jobs_.size(); }
   struct Count {
     std::size_t jobs_queued = 0, jobs_running = 0, queued = 0, bound = 0, running = 0, done = 0;
