--- a/tests/part_test.cc
+++ b/tests/part_test.cc
@@ -44,6 +44,12 @@
     r.tasks = std::move(tasks);
     return r;
   }
+  // What the machine reports once it has obeyed these starts.
+  static std::vector<TaskReport> running_of(const std::vector<Order>& starts) {
+    std::vector<TaskReport> out;
+    for (const auto& o : starts) out.push_back(task(o.job, o.index, o.attempt));
+    return out;
+  }
   static TaskReport task(const std::string& j, std::uint32_t i, std::uint64_t attempt,
                          TaskPhase p = TaskPhase::running, Cause c = Cause::none) {
     return {j, i, attempt, p, c};
@@ -154,8 +160,7 @@
   part.on_report(report("m-1"), 100);
   auto s = part.place("m-1", 100);
   ASSERT_EQ(s.size(), 8u);
-  std::vector<TaskReport> running;
-  for (const auto& o : s) running.push_back(task("run-1", o.index, o.attempt));
+  const auto running = running_of(s);
   part.on_report(report("m-1", running), 200);
   part.close_job("run-1");
   auto kills = part.take_kills();
@@ -251,8 +256,7 @@
   part.on_report(report("m-1"), 100);
   auto s = part.place("m-1", 100);
   ASSERT_EQ(s.size(), 8u);
-  std::vector<TaskReport> running;
-  for (const auto& o : s) running.push_back(task("run-1", o.index, o.attempt));
+  const auto running = running_of(s);
   JobSpec service = job("run-2", 1);
   service.kind = Kind::service;
   service.rank = Rank::production;
@@ -277,8 +281,7 @@
   part.on_report(report("m-1"), 100);
   auto s = part.place("m-1", 100);
   ASSERT_EQ(s.size(), 8u);
-  std::vector<TaskReport> running;
-  for (const auto& o : s) running.push_back(task("run-1", o.index, o.attempt));
+  const auto running = running_of(s);
   part.open_job(job("run-2", 8, "blue"), 12, false, {});
   part.on_report(report("m-1", running), 200);
   EXPECT_TRUE(part.place("m-1", 200).empty());
