Processor: sums kept in one place instead of passes over the part for every report

Now one pass a tick adds up the room by kind and by how full machines are; bind and release keep the sums; waiting jobs have a list of their own; proof is counted again only when it changes. part.cc is split: queue order, placement, proof. Older jobs that may not use spot machines no longer wait for silent spot machines.

--- a/src/core/part.h
+++ b/src/core/part.h
@@ -3,7 +3,7 @@
 //
 // Promise: a task is bound to at most one machine, and leaves it only with proof that it is gone.
 #pragma once
-#include <deque>
+#include <array>
 #include <map>
 #include <memory>
 #include <set>
@@ -99,7 +99,7 @@
 
   // Whether a report of this machine may wait for work, and how long.
   Ms park_ms(const std::string& machine) const;
-  bool has_waiting() const;
+  bool has_waiting();
   // The machines of a list in the order in which they should be asked to take work: those with
   // services first, then the fullest, so that others run empty and can be given away.
   std::vector<std::string> fullest_first(std::vector<std::string> machines) const;
@@ -132,6 +132,7 @@
     bool killing = false;
     double cpus = 0, gpus = 0, memory_gb = 0;  // kept by an orphan until it is gone
     int team = -1;
+    bool service = false;
     double grace_s = 0;  // told with the kill
   };
   using TaskKey = std::pair<std::string, std::uint32_t>;
@@ -153,6 +154,8 @@
     std::optional<Ms> taken_at;  // spot notice
     std::map<TaskKey, Bound> tasks;
     double cpus = 0, gpus = 0, memory_gb = 0;  // taken
+    double service_cpus = 0;                   // that part of it that services take
+    int unknown = 0;                           // tasks here of jobs that we do not know
     std::set<std::string> images;              // those that a task here has had
     int errors = 0;
     Ms shun_until = 0, shun_ms = 0;
@@ -173,6 +176,24 @@
     int stage = 0;           // aims that it can no longer meet
     Ms latest_start = 0;
     Ms waiting_since = 0;  // when the first of its queued tasks began to wait
+    // Of a service that waits: whether a machine with its image could take it, and whether one
+    // could that runs services too; looked for at most once a tick.
+    Ms looked_at = -1;
+    bool image_elsewhere = false, image_and_services_elsewhere = false;
+  };
+  // How full a machine is, in steps: the higher, the sooner it is filled further.
+  enum Fill { kIdle, kEmptier, kFuller, kServices, kFills };
+  // What the machines come to together. Guard: the work for one report must not grow with the
+  // machines of the part, so `survey` adds them up in one pass a tick, and `bind` and `release`
+  // keep the sums up to date between two passes.
+  // Machines that may hold what we do not know of, and the CPUs of all of them.
+  struct Proof {
+    std::size_t unproven = 0, unproven_ordinary = 0;  // not heard of under our term
+    double cpus = 0;
+  };
+  struct Totals {
+    std::array<std::array<double, kFills>, 2> free{};  // CPUs that may be given, by kind and fill
+    double kept = 0;                                   // free on machines that are not spared
   };
 
   void release(Machine& m, TaskKey key, bool again);
@@ -181,20 +202,25 @@
   void set_done(Job& j, std::uint32_t i);
   void drop_all(Machine& m);
   void note_error(Machine& m, Job& j, Ms now);
-  bool may_start(const Machine& m, const Job& j, bool proven, Ms now) const;
-  static std::tuple<bool, bool, double, double, std::string> fullness(const Machine& m);
+  bool may_start(const Machine& m, const Job& j, const Proof& proof, Ms now) const;
+  static Fill fill(const Machine& m);
+  bool takes_work(const Machine& m, Ms now) const;
   double room_on_fuller(const Machine& m, const Job& j) const;
-  bool room_elsewhere(const Machine& m, const Job& j, double unproven) const;
-  void choose_spare(Ms now);
+  void survey(Ms now);
+  void spare(Machine* emptiest, double free, double largest, Ms now);
   void reorder(Ms now);
-  bool better_elsewhere(const Machine& m, const Job& j, Ms now) const;
+  const std::vector<Job*>& waiting();
+  void look_for_image(Job& j, Ms now);
+  bool better_elsewhere(const Machine& m, Job& j, Ms now);
+  void launch(Machine& m, bool within, const Proof& proof, Ms now, std::vector<Order>& out);
+  void make_room(Machine& m, const Proof& proof, Ms now, std::vector<Order>& out);
   void start_one(Machine& m, Job& j, std::vector<Order>& out);
   bool preempt_for(Machine& m, Job& j, double unproven, bool by_guarantee, std::vector<Order>& out);
   bool may_stop(const Bound& victim, const Job& j, bool by_guarantee) const;
   bool fits(const Machine& m, const Job& j, double unproven_cpus) const;
-  bool all_proven() const;
-  static bool holds_unknown(const Machine& m);
-  double unproven_cpus() const;
+  const Proof& proof();
+  void count_unknown(Machine& m, int by);
+  void set_proven(Machine& m);
   int team_index(const std::string& name) const;
 
   int index_;
@@ -207,7 +233,12 @@
   std::map<std::string, MachineType> types_;
   std::unordered_map<std::string, std::unique_ptr<Machine>> machines_;
   std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
-  std::vector<Job*> order_;  // in which they are served, see `reorder`
+  std::vector<Job*> order_;    // in which they are served, see `reorder`
+  std::vector<Job*> waiting_;  // those of them that wait, as long as `waiting_known_`
+  double least_cpus_ = 0;      // the smallest task that waits
+  bool waiting_known_ = false, proof_known_ = false;
+  Proof proof_;
+  Totals totals_;
   Ms reordered_ = 0;
   double slack_s_ = 0;
   Ms surplus_since_ = 0;
--- /dev/null
+++ b/src/core/placement.cc
@@ -0,0 +1,289 @@
+// Placement: what a machine is given when its report shows room. It looks at that machine alone;
+// of the others it knows sums.
+#include <cmath>
+
+#include "core/part.h"
+
+namespace eiderreel {
+namespace {
+constexpr double kEps = 1e-9;
+}
+
+bool Part::fits(const Machine& m, const Job& j, double unproven) const {
+  const JobSpec& s = j.spec;
+  if (m.cpus + s.cpus > m.type->cpus + kEps || m.gpus + s.gpus > m.type->gpus + kEps ||
+      m.memory_gb + s.memory_gb > m.type->memory_gb + kEps)
+    return false;
+  if (!allowed(s, *m.type, m.zone, m.spot)) return false;
+  const Team& t = teams_[j.team];
+  // Tasks that may run on machines not heard of yet count as if they filled them.
+  if (team_cpus_[j.team] + s.cpus + unproven > t.cpus_max + kEps) return false;
+  if (s.gpus > 0 && team_gpus_[j.team] + s.gpus > t.gpus_max + kEps) return false;
+  if (s.one_zone && !j.zones.empty() && !j.zones.count(m.zone)) return false;
+  if (s.spread) {
+    auto z = j.zones.find(m.zone);
+    int here = z == j.zones.end() ? 0 : z->second;
+    if (here + 1 > static_cast<int>((s.tasks + 1) / 2)) return false;
+  }
+  return true;
+}
+
+Part::Fill Part::fill(const Machine& m) {
+  if (m.service_cpus > 0) return kServices;
+  if (m.tasks.empty()) return kIdle;
+  return m.type && m.cpus * 2 < m.type->cpus ? kEmptier : kFuller;
+}
+
+bool Part::takes_work(const Machine& m, Ms now) const {
+  return m.proven && m.reported && !m.gone && !m.leaving && m.type && !m.taken_at &&
+         m.shun_until <= now && m.shed_until <= now && m.unknown == 0;
+}
+
+// One pass over the machines.
+void Part::survey(Ms now) {
+  totals_ = {};
+  double largest = 0;
+  Machine* emptiest = nullptr;
+  for (auto& [id, p] : machines_) {
+    Machine& m = *p;
+    if (!takes_work(m, now)) continue;
+    const double left = m.type->cpus - m.cpus;
+    totals_.free[m.spot][fill(m)] += left;
+    if (m.spare) continue;
+    totals_.kept += left;
+    largest = std::max(largest, m.type->cpus);
+    if (m.service_cpus > 0) continue;
+    if (!emptiest || m.cpus < emptiest->cpus || (m.cpus == emptiest->cpus && m.id > emptiest->id))
+      emptiest = &m;
+  }
+  spare(emptiest, totals_.kept, largest, now);
+}
+
+// With nothing waiting and more than a machine's worth of free room for a while, the emptiest
+// machine without services is spared: it runs empty, and the leader may move or return it.
+void Part::spare(Machine* emptiest, double free, double largest, Ms now) {
+  if (has_waiting() || !emptiest ||
+      free - (emptiest->type->cpus - emptiest->cpus) < largest / 2 + emptiest->cpus) {
+    surplus_since_ = now;
+    return;
+  }
+  if (now - surplus_since_ < constants::kSpareAfterMs) return;
+  emptiest->spare = true;
+  totals_.kept -= emptiest->type->cpus - emptiest->cpus;
+  surplus_since_ = now - constants::kSpareAfterMs + constants::kSpareNextMs;
+}
+
+// Whether other machines have the image of a waiting service, and room that no service takes.
+void Part::look_for_image(Job& j, Ms now) {
+  if (j.looked_at >= 0 && now - j.looked_at < constants::kTickMs) return;
+  j.looked_at = now;
+  j.image_elsewhere = j.image_and_services_elsewhere = false;
+  for (const auto& [id, o] : machines_) {
+    if (!takes_work(*o, now) || o->service_cpus + j.spec.cpus > o->type->cpus ||
+        !o->images.count(j.spec.image) || !allowed(j.spec, *o->type, o->zone, o->spot))
+      continue;
+    j.image_elsewhere = true;
+    j.image_and_services_elsewhere |= o->service_cpus > 0;
+    if (j.image_and_services_elsewhere) return;
+  }
+}
+
+// A service waits a moment for a machine that has its image, since the fetch takes far longer,
+// and a shorter one for a machine that runs services already, so that others can run empty.
+bool Part::better_elsewhere(const Machine& m, Job& j, Ms now) {
+  if (j.spec.kind != Kind::service) return false;
+  const Ms waited = now - j.waiting_since;
+  const bool image = m.images.count(j.spec.image) > 0;
+  // Joining pays only where a report of such a machine is likely within the wait.
+  const bool service = m.service_cpus > 0 || limits_.report_ms > 2 * constants::kServicePackMs;
+  if (waited >= (image ? constants::kServicePackMs : constants::kImageWaitMs) || (image && service))
+    return false;
+  look_for_image(j, now);
+  return image ? j.image_and_services_elsewhere : j.image_elsewhere;
+}
+
+// Free room for the job on machines that are to be filled before this one. What fits there waits
+// a moment for their reports, so that other machines run empty: only an idle machine can be given
+// to a part in need, or returned.
+double Part::room_on_fuller(const Machine& m, const Job& j) const {
+  double room = 0;
+  for (int f = fill(m) + 1; f < kFills; ++f)
+    room += totals_.free[0][f] + (j.spec.spot ? totals_.free[1][f] : 0);
+  return room;
+}
+
+void Part::shed(double cpus, Ms now) {
+  std::vector<Machine*> candidates;
+  for (auto& [id, m] : machines_)
+    if (m->proven && m->reported && !m->gone && !m->leaving && m->type && m->service_cpus == 0)
+      candidates.push_back(m.get());
+  // Those that run empty already first, then the emptiest.
+  std::sort(candidates.begin(), candidates.end(), [now](const Machine* a, const Machine* b) {
+    return std::tuple(a->shed_until < now, a->cpus, a->id) <
+           std::tuple(b->shed_until < now, b->cpus, b->id);
+  });
+  for (Machine* m : candidates) {
+    if (m->type->cpus > cpus) continue;
+    cpus -= m->type->cpus;
+    m->shed_until = now + constants::kShedMs;
+  }
+}
+
+// The order in which machines are to be filled: with services first, then the fullest, large
+// before small, so that others run empty.
+std::vector<std::string> Part::fullest_first(std::vector<std::string> ids) const {
+  using Key = std::tuple<Fill, double, double>;
+  std::vector<std::pair<Key, std::string>> keyed;
+  for (auto& id : ids)
+    if (auto it = machines_.find(id); it != machines_.end()) {
+      const Machine& m = *it->second;
+      keyed.emplace_back(Key{fill(m), m.type ? m.type->cpus : 0, m.cpus}, std::move(id));
+    }
+  std::sort(keyed.begin(), keyed.end(), std::greater<>());
+  ids.clear();
+  for (auto& [key, id] : keyed) ids.push_back(std::move(id));
+  return ids;
+}
+
+void Part::start_one(Machine& m, Job& j, std::vector<Order>& out) {
+  std::uint32_t i = j.first_queued;
+  while (j.state[i] != State::queued) ++i;
+  j.first_queued = i;
+  std::uint64_t attempt = (term_of(m.id) << constants::kAttemptBits) + ++counter_;
+  bind(m, j, i, attempt, TaskPhase::pulling);
+  out.push_back({Verb::launch, j.spec.id, i, attempt, 0});
+}
+
+bool Part::may_stop(const Bound& victim, const Job& j, bool by_guarantee) const {
+  if (!victim.job || victim.killing || victim.phase == TaskPhase::flushing) return false;
+  const JobSpec& v = victim.job->spec;
+  if (by_guarantee)
+    return victim.team != j.team && v.kind == Kind::array && v.rank <= j.spec.rank &&
+           team_cpus_[victim.team] - victim.cpus >= teams_[victim.team].cpus - kEps;
+  return v.rank < j.spec.rank;
+}
+
+// Stops tasks here and starts one of the job in their room, in the same answer: the worker obeys
+// in order, and a task that cannot save is gone at once. One that can save is told to, and its
+// room is used when it is seen to be gone.
+bool Part::preempt_for(Machine& m, Job& j, double unproven, bool by_guarantee,
+                       std::vector<Order>& out) {
+  std::vector<std::pair<TaskKey, Bound*>> victims;
+  // What is told to stop without saving goes before the starts of the same answer.
+  double cpus = m.type->cpus, gpus = m.type->gpus, memory = m.type->memory_gb;
+  for (const auto& [key, b] : m.tasks) {
+    if (b.killing && b.grace_s == 0) continue;
+    cpus -= b.cpus;
+    gpus -= b.gpus;
+    memory -= b.memory_gb;
+  }
+  std::vector<std::pair<TaskKey, Bound*>> candidates;
+  for (auto& [key, b] : m.tasks)
+    if (may_stop(b, j, by_guarantee)) candidates.emplace_back(key, &b);
+  // The lowest rank first, then the youngest: the least work is lost.
+  std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
+    const Rank ra = a.second->job->spec.rank, rb = b.second->job->spec.rank;
+    return ra != rb ? ra < rb : a.second->attempt > b.second->attempt;
+  });
+  const JobSpec& s = j.spec;
+  auto enough = [&] {
+    return cpus + kEps >= s.cpus && gpus + kEps >= s.gpus && memory + kEps >= s.memory_gb;
+  };
+  double given = 0;
+  for (auto& c : candidates) {
+    if (enough()) break;
+    const Bound& b = *c.second;
+    if (by_guarantee && team_cpus_[b.team] - given - b.cpus < teams_[b.team].cpus - kEps)
+      continue;  // a team keeps its own guarantee
+    if (by_guarantee) given += b.cpus;
+    cpus += b.cpus;
+    gpus += b.gpus;
+    memory += b.memory_gb;
+    victims.push_back(c);
+  }
+  if (!enough()) return false;
+  // The other conditions, as if the machine were empty.
+  const double taken_cpus = m.cpus, taken_gpus = m.gpus, taken_memory = m.memory_gb;
+  m.cpus = m.gpus = m.memory_gb = 0;
+  const bool fits_here = fits(m, j, unproven);
+  m.cpus = taken_cpus, m.gpus = taken_gpus, m.memory_gb = taken_memory;
+  if (!fits_here) return false;
+  bool at_once = true;
+  for (auto& [key, b] : victims) {
+    const JobSpec& v = b->job->spec;
+    const bool saves = v.checkpoint_s > 0 && b->phase == TaskPhase::running;
+    at_once &= !saves;
+    b->killing = true;
+    b->grace_s = saves ? v.save_s : 0;
+    out.push_back({Verb::kill, key.first, key.second, b->attempt, b->grace_s});
+    ++preemptions_;
+  }
+  if (at_once) start_one(m, j, out);
+  return at_once;
+}
+
+// Work within a guarantee goes first, then borrowing; each in the order of the queue. The tasks of
+// a job are alike, so they are decided together.
+void Part::launch(Machine& m, bool within, const Proof& proof, Ms now, std::vector<Order>& out) {
+  const Ms pack_ms = std::min(constants::kPackWaitMs, limits_.report_ms * 5 / 4);
+  for (Job* j : waiting()) {
+    if (m.cpus + least_cpus_ > m.type->cpus + kEps) return;
+    if (!may_start(m, *j, proof, now) || better_elsewhere(m, *j, now)) continue;
+    const bool packs = j->spec.kind == Kind::array && now - j->waiting_since < pack_ms;
+    while (j->queued > 0 && fits(m, *j, proof.cpus)) {
+      const double wanted = j->queued * j->spec.cpus;
+      if (packs && (wanted <= room_on_fuller(m, *j) || (m.spare && wanted <= totals_.kept))) break;
+      if (within && team_cpus_[j->team] + j->spec.cpus > teams_[j->team].cpus + kEps) break;
+      m.spare = false;
+      start_one(m, *j, out);
+    }
+  }
+}
+
+// What still waits, after a moment in which another machine may have had room: it may stop work of
+// lower rank here, and, within its guarantee, what other teams have borrowed.
+void Part::make_room(Machine& m, const Proof& proof, Ms now, std::vector<Order>& out) {
+  const Ms reclaim_after =
+      std::max(constants::kReclaimSoonestMs, constants::kReclaimByMs - limits_.report_ms * 5 / 4);
+  for (Job* j : waiting()) {
+    auto within = [&] { return team_cpus_[j->team] + j->spec.cpus <= teams_[j->team].cpus + kEps; };
+    const Ms waited = now - j->waiting_since;
+    const bool by_rank = j->spec.rank > Rank::standard && waited >= constants::kPreemptAfterMs;
+    const bool by_guarantee = waited >= reclaim_after && within();
+    if ((!by_rank && !by_guarantee) || !may_start(m, *j, proof, now) ||
+        better_elsewhere(m, *j, now))
+      continue;
+    while (by_rank && j->queued > 0 && preempt_for(m, *j, proof.cpus, false, out)) {
+    }
+    while (by_guarantee && j->queued > 0 && within() && preempt_for(m, *j, proof.cpus, true, out)) {
+    }
+  }
+}
+
+std::vector<Order> Part::place(const std::string& machine, Ms now) {
+  std::vector<Order> out;
+  now_ = now;
+  auto it = machines_.find(machine);
+  if (it == machines_.end() || !takes_work(*it->second, now) || waiting().empty()) return out;
+  Machine& m = *it->second;
+  const Proof known = proof();
+  for (bool within : {true, false}) launch(m, within, known, now, out);
+  make_room(m, known, now, out);
+  if (!m.tasks.empty()) m.idle_since = now;
+  return out;
+}
+
+Ms Part::park_ms(const std::string& machine) const {
+  auto it = machines_.find(machine);
+  if (it == machines_.end()) return 0;
+  const Machine& m = *it->second;
+  if (!m.proven || m.leaving || !m.type || m.taken_at) return 0;
+  // A parked worker cannot tell of a finished task, so only one whose tasks do not finish by
+  // themselves waits long. The others wait no longer than a worker would between two reports.
+  // One that runs services has their images: the next service should find it waiting.
+  const bool quiet = m.tasks.empty() || m.service_cpus > 0;
+  return quiet ? std::min(constants::kParkIdleMs, limits_.report_ms * 4 / 5)
+               : constants::kParkBusyMs;
+}
+
+}  // namespace eiderreel
--- /dev/null
+++ b/src/core/queue.cc
@@ -0,0 +1,85 @@
+// The queue of a part: in which order its jobs are served, and which of them wait.
+#include "core/part.h"
+
+namespace eiderreel {
+
+// Within a rank, oldest first among jobs that nothing is expected of. Where an aim or a deadline
+// stands, its latest start takes the place of the age: an extension of the design, measured (see
+// docs/design.md). A job that can no longer meet an aim lets those that can go first, but not for
+// ever.
+void Part::reorder(Ms now) {
+  reordered_ = now;
+  waiting_known_ = false;
+  for (Job* j : order_) {
+    const Ms run = static_cast<Ms>(j->spec.estimate_s * 1000) + constants::kStartAllowanceMs;
+    j->stage = 0;
+    j->latest_start = j->accepted + constants::kUnboundedMs;
+    if (j->bounds.empty()) continue;
+    const std::size_t n = j->bounds.size();
+    std::size_t i = 0;
+    while (i < n && now + run > j->bounds[i]) ++i;
+    j->stage = static_cast<int>(i);
+    j->latest_start = i < n ? j->bounds[i] - run : j->accepted;
+    if (now - j->accepted > constants::kPatienceBounds * (j->bounds.back() - j->accepted))
+      j->stage = 0;
+  }
+  std::stable_sort(order_.begin(), order_.end(), [](const Job* a, const Job* b) {
+    return std::tuple(-static_cast<int>(a->spec.rank), a->stage, a->latest_start, a->stamp) <
+           std::tuple(-static_cast<int>(b->spec.rank), b->stage, b->latest_start, b->stamp);
+  });
+}
+
+// The jobs that have tasks to start, in order. Those that have none any more may still be there.
+const std::vector<Part::Job*>& Part::waiting() {
+  if (waiting_known_) return waiting_;
+  waiting_.clear();
+  least_cpus_ = 0;
+  for (Job* j : order_) {
+    if (j->queued == 0) continue;
+    least_cpus_ = waiting_.empty() ? j->spec.cpus : std::min(least_cpus_, j->spec.cpus);
+    waiting_.push_back(j);
+  }
+  waiting_known_ = true;
+  return waiting_;
+}
+
+bool Part::has_waiting() {
+  return std::any_of(waiting().begin(), waiting().end(),
+                     [](const Job* j) { return j->queued > 0 && !j->held; });
+}
+
+bool Part::may_start(const Machine& m, const Job& j, const Proof& proof, Ms now) const {
+  if (j.queued == 0 || j.held || j.not_before > now) return false;
+  // Invariant 5: an older job's tasks may run on any machine not heard of yet that could hold them.
+  if (j.older && (j.spec.spot ? proof.unproven : proof.unproven_ordinary) > 0) return false;
+  return !j.bad_machines.count(m.id) || j.bad_machines.size() >= machines_.size();
+}
+
+PartNeed Part::need(Ms now) const {
+  PartNeed n;
+  std::vector<double> room(teams_.size());
+  for (std::size_t i = 0; i < teams_.size(); ++i) {
+    room[i] = std::max(0.0, teams_[i].cpus_max - team_cpus_[i]);
+    n.used_cpus += team_cpus_[i];
+  }
+  for (const Job* j : order_) {
+    if (j->spec.kind == Kind::service) n.used_service_cpus += j->bound * j->spec.cpus;
+    if (j->queued == 0 || j->held || j->not_before > now) continue;
+    double want = std::min(j->queued * j->spec.cpus, room[j->team]);
+    room[j->team] -= want;
+    n.waiting_cpus += want;
+    if (j->spec.spot) n.waiting_spot_cpus += want;
+    if (j->spec.kind == Kind::service) n.waiting_service_cpus += want;
+    n.waiting_core_s += j->queued * j->spec.cpus * j->spec.estimate_s;
+  }
+  for (const auto& [id, m] : machines_) {
+    if (m->gone || !m->reported || !m->type) continue;
+    n.total_cpus += m->type->cpus;
+    if (m->proven && m->tasks.empty() && !m->leaving) n.idle.push_back(id);
+  }
+  std::sort(n.idle.begin(), n.idle.end());
+  n.slack_s = slack_s_;
+  return n;
+}
+
+}  // namespace eiderreel
