State service: nodes share the changes by need; users first, machines next, progress last

Now what peers say they leave is shared, users may run into debt, a 429 is tried again, progress leaves room, and following takes a third of the requests at most.

--- a/src/actors/fleet.cc
+++ b/src/actors/fleet.cc
@@ -115,6 +115,7 @@
   const codec::MachineRecord record{part_for(r.type, r.spot), r.type, r.zone, r.addr, r.spot};
   assigning_[r.machine] = {std::move(reply), record};
   Commit c;
+  c.pace = Pace::fleet;
   c.nonce = registrar_.nonce();
   c.guards = {{codec::machine_key(r.machine), 0}};
   c.writes = {{codec::machine_key(r.machine), codec::encode(record, c.nonce), false}};
@@ -392,6 +393,7 @@
                     std::uint64_t stamp) {
   if (!changing_.insert(id).second) return;
   Commit c;
+  c.pace = Pace::fleet;
   c.nonce = registrar_.nonce();
   c.guards = {{codec::machine_key(id), stamp}};
   codec::MachineRecord released = record;
@@ -407,6 +409,7 @@
   auto m = registrar_.view().machines.find(id);
   if (m == registrar_.view().machines.end() || !changing_.insert(id).second) return;
   Commit c;
+  c.pace = Pace::fleet;
   c.nonce = registrar_.nonce();
   c.guards = {{codec::machine_key(id), m->second.stamp}};
   c.writes = {{codec::machine_key(id), "", false}};
--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -139,7 +139,7 @@
   c.guards = {{codec::part_key(part), 0}};
   c.writes = {{codec::part_key(part),
                codec::encode(codec::PartRecord{s_.node, registrar_.grant()}, c.nonce), true}};
-  c.urgent = true;
+  c.pace = Pace::urgent;
   const std::uint64_t grant = registrar_.grant();
   c.done = [this, part, grant](Outcome o, std::uint64_t stamp) {
     // In doubt it may still land: the part's key will tell (see part_changed).
@@ -244,7 +244,7 @@
     c.nonce = registrar_.nonce();
     c.guards = {{codec::part_key(p), stamp}};
     c.writes = {{codec::part_key(p), "", false}};
-    c.urgent = true;
+    c.pace = Pace::urgent;
     c.done = [](Outcome, std::uint64_t) {};
     registrar_.commit(std::move(c));
     return;  // the map has changed; one a tick is enough
@@ -385,6 +385,7 @@
   codec::MachineRecord record = it->second.record;
   record.part = m.part;
   Commit c;
+  c.pace = Pace::fleet;
   c.nonce = registrar_.nonce();
   c.guards = {{codec::machine_key(m.machine), it->second.stamp},
               {codec::part_key(part), o->core->term()}};
@@ -511,6 +512,7 @@
   std::set<std::uint32_t> chunks;
   for (auto t : tasks) chunks.insert(t / k::kDoneChunk);
   Commit c;
+  c.pace = Pace::progress;
   c.nonce = registrar_.nonce();
   c.guards = job_guards(part, id);
   for (auto chunk : chunks) {
@@ -553,6 +555,7 @@
 
 void Owner::peer_status(const std::string& node, const mesh::Status& s) {
   peers_[node] = {rt_.now(), s};
+  registrar_.peer_use(node, s.use);
 }
 
 void Owner::tick() {
@@ -582,6 +585,7 @@
     mesh::Status s;
     for (const auto& [part, o] : owned_)
       if (acting(part)) s.parts.emplace_back(part, o.core->need(now));
+    s.use = registrar_.use();
     hooks_.broadcast(s);
   }
 }
--- a/src/actors/registrar.cc
+++ b/src/actors/registrar.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <array>
+#include <cmath>
 #include <memory>
 
 namespace eiderreel {
@@ -22,12 +23,13 @@
 }  // namespace
 
 Registrar::Registrar(Runtime& rt, const Settings& s) : rt_(rt), s_(s) {
-  // The nodes share the budgets of the state service evenly.
   const double nodes = static_cast<double>(s.peers.size() + 1);
-  rate_ = s.state_rps * k::kBudgetShare / nodes;
-  write_rate_ = s.state_write_rps * k::kBudgetShare / nodes;
-  tokens_ = rate_;
-  write_tokens_ = write_rate_;
+  auto set = [&](Budget& b, double rate) {
+    b.total = rate * k::kBudgetShare;
+    b.even = b.rate = b.tokens = b.total / nodes;
+  };
+  set(requests_, s.state_rps);
+  set(changes_, s.state_write_rps);
 }
 
 void Registrar::start(Events events) {
@@ -42,49 +44,99 @@
 
 // ------------------------------------------------------------------------------ budgets
 
+void Registrar::Budget::refill(double dt, double spare) {
+  rate = even + spare;
+  tokens = std::min(rate, tokens + dt * rate);
+  used *= std::exp(-dt * 1000.0 / k::kUseMs);
+}
+
+void Registrar::Budget::take(double n) {
+  tokens -= n;
+  used += n * 1000.0 / k::kUseMs;
+}
+
+BudgetUse Registrar::use() const { return {requests_.used, changes_.used}; }
+
+void Registrar::peer_use(const std::string& node, const BudgetUse& use) {
+  peer_use_[node] = {rt_.now(), use};
+}
+
+// A node that is not heard of may use all of its part. Of what the others leave, an even share is
+// ours: so two that are in need together do not both take the whole.
+void Registrar::refill() {
+  const Ms now = rt_.now();
+  const double dt = static_cast<double>(now - refilled_) / 1000.0;
+  refilled_ = now;
+  BudgetUse spare;
+  for (const auto& [node, p] : peer_use_) {
+    if (now - p.at >= k::kStatusStaleMs) continue;
+    spare.requests += std::max(0.0, requests_.even - p.use.requests);
+    spare.changes += std::max(0.0, changes_.even - p.use.changes);
+  }
+  requests_.refill(dt, spare.requests * k::kSpareShare);
+  changes_.refill(dt, spare.changes * k::kSpareShare);
+}
+
 void Registrar::submit(Pending p) {
   p.request.addr = s_.state_addr;
-  if (queue_.size() >= k::kPendingMax && p.priority > 0) {
+  if (queue_.size() >= k::kPendingMax && p.pace != Pace::urgent) {
     ++counters_.refused_here;
     rt_.after(0, [done = std::move(p.done)] { done({429, ""}); });
     return;
   }
   p.expires = rt_.now() + p.request.timeout;
+  enqueue(std::move(p));
+}
+
+void Registrar::enqueue(Pending p) {
   auto pos = queue_.end();
-  while (pos != queue_.begin() && std::prev(pos)->priority > p.priority) --pos;
+  while (pos != queue_.begin() && std::prev(pos)->pace > p.pace) --pos;
   queue_.insert(pos, std::move(p));
   pump();
 }
 
+// Users may run into debt up to what the others would have to leave unused: their changes are few,
+// and a refusal by the state service itself costs one more try.
+bool Registrar::affordable(const Pending& p) const {
+  if (p.pace == Pace::urgent) return true;
+  const double debt = p.pace == Pace::user ? 1 : 0;
+  if (requests_.tokens - 1 < -debt * (requests_.total - requests_.even)) return false;
+  if (p.writes == 0) return true;
+  const double want = std::min<double>(p.writes, changes_.rate - 0.5);
+  const double keep = p.pace == Pace::progress ? changes_.even * k::kProgressKeep : 0;
+  return changes_.tokens - want - std::min(keep, changes_.rate - 0.5 - want) >=
+         -debt * (changes_.total - changes_.even);
+}
+
 void Registrar::pump() {
+  refill();
   const Ms now = rt_.now();
-  const double dt = static_cast<double>(now - refilled_) / 1000.0;
-  refilled_ = now;
-  tokens_ = std::min(rate_, tokens_ + dt * rate_);
-  write_tokens_ = std::min(write_rate_, write_tokens_ + dt * write_rate_);
   while (!queue_.empty()) {
     Pending& front = queue_.front();
-    if (front.expires <= now && front.priority > 0) {
-      // It was never sent, so nothing was done.
+    if (front.expires <= now && front.pace != Pace::urgent) {
+      // It was never sent, or refused: nothing was done.
       ++counters_.refused_here;
       auto done = std::move(front.done);
       queue_.pop_front();
       rt_.after(0, [done = std::move(done)] { done({429, ""}); });
       continue;
     }
-    const bool urgent = front.priority == 0;
-    const double want = std::min<double>(front.writes, write_rate_ - 0.5);
-    if (!urgent && (tokens_ < 1 || (front.writes > 0 && write_tokens_ < want))) return;
-    tokens_ -= 1;
-    write_tokens_ -= front.writes;
-    Pending p = std::move(front);
+    if (!affordable(front)) return;
+    requests_.take(1);
+    changes_.take(front.writes);
+    auto sent = std::make_shared<Pending>(std::move(front));
     queue_.pop_front();
     ++in_flight_;
-    rt_.http(std::move(p.request), [this, done = std::move(p.done)](HttpReply r) {
+    rt_.http(sent->request, [this, sent](HttpReply r) {
       --in_flight_;
       ++counters_.replies[r.status];
       if (r.status != 0 && r.status != 503 && r.status != 429) last_good_ = rt_.now();
-      done(std::move(r));
+      // Over the limit after all: nothing was done, so it may go again as it is.
+      if (r.status == 429 && sent->pace == Pace::user && rt_.now() < sent->expires) {
+        rt_.after(k::kOverLimitMs, [this, sent] { enqueue(std::move(*sent)); });
+        return;
+      }
+      sent->done(std::move(r));
     });
   }
 }
@@ -104,7 +156,7 @@
     c.nonce = nonce();
     c.writes = {{codec::node_key(s_.node),
                  codec::encode(codec::NodeRecord{rt_.boot_id(), grant_}, c.nonce), true}};
-    c.urgent = true;
+    c.pace = Pace::urgent;
     c.done = [this](Outcome o, std::uint64_t) {
       writing_node_ = false;
       node_written_ = o == Outcome::ok;
@@ -126,7 +178,7 @@
     spdlog::info("grant end node={} grant={} reason=earlier-process", s_.node, grant);
     submit({{"", "DELETE", "/grants/" + std::to_string(grant), "", k::kStateTimeoutMs},
             0,
-            0,
+            Pace::urgent,
             0,
             [this](HttpReply r) {
               if (r.status == 200 || r.status == 404) view_.nodes.erase(s_.node);
@@ -138,7 +190,7 @@
   const Ms sent = rt_.now();
   submit({{"", "POST", "/grants", codec::grant_body(k::kGrantLifeMs), k::kStateTimeoutMs},
           0,
-          0,
+          Pace::urgent,
           0,
           [this, sent](HttpReply r) {
             auto id = r.status == 200 ? codec::parse_number(r.body, "tether") : std::nullopt;
@@ -163,7 +215,7 @@
   last_extend_ = sent;
   submit({{"", "POST", "/grants/" + std::to_string(id) + "/extend", "", k::kStateTimeoutMs},
           0,
-          0,
+          Pace::urgent,
           0,
           [this, sent, id](HttpReply r) {
             extending_ = false;
@@ -215,29 +267,30 @@
   }
   std::string path = "/kv?prefix=" + kFollowed[prefix] + "&page=" + std::to_string(k::kListPage);
   if (!since.empty()) path += "&since=" + since;
-  submit({{"", "GET", path, "", k::kStateTimeoutMs * 2}, 0, 0, 0, [=, this](HttpReply r) {
-            auto page = r.status == 200 ? codec::parse_list(r.body) : std::nullopt;
-            if (!page) {
-              rt_.after(k::kRetryMs, [=, this] { load(prefix, since); });
-              return;
-            }
-            // Changes since the first page are followed from its ledger, so none is missed.
-            if (follow_since_ == 0) follow_since_ = page->ledger;
-            for (const auto& row : page->rows) {
-              loaded_.insert(row.key);
-              apply(row, true);
-            }
-            if (page->more && !page->rows.empty())
-              load(prefix, page->rows.back().key);
-            else
-              load(prefix + 1, "");
-          }});
+  submit(
+      {{"", "GET", path, "", k::kStateTimeoutMs * 2}, 0, Pace::urgent, 0, [=, this](HttpReply r) {
+         auto page = r.status == 200 ? codec::parse_list(r.body) : std::nullopt;
+         if (!page) {
+           rt_.after(k::kRetryMs, [=, this] { load(prefix, since); });
+           return;
+         }
+         // Changes since the first page are followed from its ledger, so none is missed.
+         if (follow_since_ == 0) follow_since_ = page->ledger;
+         for (const auto& row : page->rows) {
+           loaded_.insert(row.key);
+           apply(row, true);
+         }
+         if (page->more && !page->rows.empty())
+           load(prefix, page->rows.back().key);
+         else
+           load(prefix + 1, "");
+       }});
 }
 
 void Registrar::follow(Ms wait) {
   std::string path = "/follow?prefix=e/&since=" + std::to_string(follow_since_) +
                      "&wait_ms=" + std::to_string(wait);
-  submit({{"", "GET", path, "", wait + k::kFollowSlackMs}, 0, 0, 0, [this](HttpReply r) {
+  submit({{"", "GET", path, "", wait + k::kFollowSlackMs}, 0, Pace::urgent, 0, [this](HttpReply r) {
             if (r.status == 410) {
               begin_follow();
               return;
@@ -256,10 +309,15 @@
                            view_.ledger, view_.jobs.size(), view_.machines.size());
             }
             announce_seen();
-            rt_.after(k::kFollowPauseMs, [this] { follow(k::kFollowWaitMs); });
+            rt_.after(follow_pause(), [this] { follow(k::kFollowWaitMs); });
           }});
 }
 
+// Following takes no more than a part of the requests, however busy the keys are.
+Ms Registrar::follow_pause() const {
+  return std::max(k::kFollowPauseMs, static_cast<Ms>(1000.0 / (requests_.even * k::kFollowShare)));
+}
+
 void Registrar::announce_seen() {
   while (!waiting_.empty() && waiting_.begin()->first <= view_.ledger) {
     auto f = std::move(waiting_.begin()->second);
@@ -349,7 +407,7 @@
   submit({{"", "POST", "/commit", codec::commit_body(c->guards, c->writes, grant_),
            k::kStateTimeoutMs},
           static_cast<int>(c->writes.size()),
-          c->urgent ? 0 : 1,
+          c->pace,
           0,
           [this, c, tries, doubt](HttpReply r) {
             if (r.status == 200) {
@@ -398,7 +456,7 @@
                      std::function<void(std::optional<codec::StateRow>)> done) {
   submit({{"", "GET", "/kv/" + key, "", k::kStateTimeoutMs},
           0,
-          1,
+          Pace::user,
           0,
           [key, done = std::move(done)](HttpReply r) {
             if (r.status == 404) {
@@ -423,7 +481,7 @@
   if (!since.empty()) path += "&since=" + since;
   submit({{"", "GET", path, "", k::kStateTimeoutMs * 2},
           0,
-          0,
+          Pace::urgent,
           0,
           [this, prefix, rows, done = std::move(done)](HttpReply r) {
             auto page = r.status == 200 ? codec::parse_list(r.body) : std::nullopt;
--- a/src/actors/registrar.h
+++ b/src/actors/registrar.h
@@ -52,11 +52,15 @@
   unknown,   // it may have been done, or may still be
 };
 
+// What goes first when the budget of the state service is short. Users and what they are told come
+// before machines, and machines before progress, which is written as often as the rest allows.
+enum class Pace { urgent, user, fleet, progress };
+
 struct Commit {
   std::vector<codec::Guard> guards;
   std::vector<codec::Write> writes;  // the first one puts a value with the nonce of this commit
   std::string nonce;
-  bool urgent = false;
+  Pace pace = Pace::user;
   std::function<void(Outcome, std::uint64_t ledger)> done;
 };
 
@@ -92,6 +96,9 @@
   // Calls back once the view has all changes up to `ledger`.
   void when_seen(std::uint64_t ledger, std::function<void()> done);
   void remember_final(const std::string& id, JobPhase p);
+  // What this node takes of the budgets, for its peers; and what a peer has said that it takes.
+  BudgetUse use() const;
+  void peer_use(const std::string& node, const BudgetUse& use);
   const Counters& counters() const { return counters_; }
   std::size_t pending() const { return queue_.size(); }
 
@@ -99,12 +106,16 @@
   struct Pending {
     HttpRequest request;
     int writes = 0;
-    int priority = 1;  // 0 first
+    Pace pace = Pace::user;
     Ms expires = 0;
     std::function<void(HttpReply)> done;
   };
   void submit(Pending p);
+  void enqueue(Pending p);
+  bool affordable(const Pending& p) const;
+  void refill();
   void pump();
+  Ms follow_pause() const;
   void get_grant();
   void extend();
   void begin_follow();
@@ -130,7 +141,19 @@
   std::uint64_t follow_since_ = 0;
   std::set<std::string> loaded_;  // keys met while listing anew
   std::deque<Pending> queue_;
-  double tokens_, write_tokens_, rate_, write_rate_;
+  // A budget of the state service that the nodes share: an even part for each, and what the others
+  // say that they leave of theirs.
+  struct Budget {
+    double total = 0, even = 0, rate = 0, tokens = 0, used = 0;
+    void refill(double dt, double spare);
+    void take(double n);
+  };
+  Budget requests_, changes_;
+  struct PeerUse {
+    Ms at = 0;
+    BudgetUse use;
+  };
+  std::map<std::string, PeerUse> peer_use_;
   Ms refilled_ = 0;
   int in_flight_ = 0;
   std::uint64_t nonce_counter_ = 0;
--- a/src/codec/mesh.capnp
+++ b/src/codec/mesh.capnp
@@ -33,6 +33,8 @@
 
 struct Status {                   # news of load for the leader
   parts @0 :List(Need);
+  requests @1 :Float64;           # of the state service, a second, that the sender takes
+  changes @2 :Float64;
 }
 
 struct Need {
--- a/src/codec/mesh.cc
+++ b/src/codec/mesh.cc
@@ -37,7 +37,10 @@
     b.setBody(m.body);
   }
   void operator()(const Status& m) {
-    auto list = e.initStatus().initParts(static_cast<unsigned>(m.parts.size()));
+    auto status = e.initStatus();
+    status.setRequests(m.use.requests);
+    status.setChanges(m.use.changes);
+    auto list = status.initParts(static_cast<unsigned>(m.parts.size()));
     for (unsigned i = 0; i < m.parts.size(); ++i) {
       const auto& [part, n] = m.parts[i];
       auto b = list[i];
@@ -85,6 +88,7 @@
 
 Status read_status(wire::Status::Reader r) {
   Status s;
+  s.use = {r.getRequests(), r.getChanges()};
   for (auto b : r.getParts()) {
     PartNeed n;
     n.waiting_cpus = b.getWaitingCpus();
--- a/src/codec/mesh.h
+++ b/src/codec/mesh.h
@@ -21,6 +21,7 @@
 };
 struct Status {
   std::vector<std::pair<int, PartNeed>> parts;
+  BudgetUse use;  // of the state service by the sender
 };
 struct Move {
   std::string machine;
--- a/src/constants.h
+++ b/src/constants.h
@@ -55,15 +55,20 @@
 constexpr int kAttemptBits = 24;        // bits; attempts within one term, below the term's bits
 
 // --- state service ------------------------------------------------------------------------
-constexpr double kBudgetShare = 0.9;  // share of the rates used; the rest absorbs clock skew
-constexpr Ms kStateTimeoutMs = 1500;  // ms; answers mostly take 10, sometimes some hundred
-constexpr Ms kFollowWaitMs = 5000;    // ms; long poll; short enough to notice a hung link
-constexpr Ms kFollowSlackMs = 2500;   // ms; beyond the wait before a follow counts as hung
-constexpr Ms kFollowPauseMs = 100;    // ms; gathers changes, so a busy minute costs few requests
-constexpr int kListPage = 500;        // items; half of the largest page
-constexpr int kCommitTries = 3;       // tries of a commit before its caller hears "unknown"
-constexpr Ms kRetryMs = 300;          // ms; pause before a state request is tried again
-constexpr Ms kDoneBatchMs = 3000;     // ms; finished tasks of a job are written this often
+constexpr double kBudgetShare = 0.9;   // share of the rates used; the rest absorbs clock skew
+constexpr Ms kUseMs = 2000;            // ms; over which a node's use of the rates is averaged
+constexpr double kSpareShare = 0.5;    // of what the other nodes leave; they may need it again
+constexpr double kProgressKeep = 0.4;  // of a second's changes that progress leaves for the rest
+constexpr double kFollowShare = 0.33;  // of a node's requests that following may take
+constexpr Ms kOverLimitMs = 100;       // ms; pause after a refusal over the limit
+constexpr Ms kStateTimeoutMs = 1500;   // ms; answers mostly take 10, sometimes some hundred
+constexpr Ms kFollowWaitMs = 5000;     // ms; long poll; short enough to notice a hung link
+constexpr Ms kFollowSlackMs = 2500;    // ms; beyond the wait before a follow counts as hung
+constexpr Ms kFollowPauseMs = 100;     // ms; gathers changes, so a busy minute costs few requests
+constexpr int kListPage = 500;         // items; half of the largest page
+constexpr int kCommitTries = 3;        // tries of a commit before its caller hears "unknown"
+constexpr Ms kRetryMs = 300;           // ms; pause before a state request is tried again
+constexpr Ms kDoneBatchMs = 3000;      // ms; finished tasks of a job are written this often
 constexpr std::uint32_t kDoneChunk = 32768;  // tasks; 4 KiB of bits, 5.5 KiB as base64, under 8 KiB
 constexpr std::size_t kFinalCache = 20000;   // finished jobs remembered; older ones are read again
 
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -79,6 +79,11 @@
   std::uint32_t done = 0, running = 0;
 };
 
+// What a node takes of the state service: requests and changes a second.
+struct BudgetUse {
+  double requests = 0, changes = 0;
+};
+
 // Whether a machine of this type, zone and kind may ever hold a task of the job.
 inline bool allowed(const JobSpec& j, const MachineType& t, const std::string& zone, bool spot) {
   if (spot && !j.spot) return false;
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -111,7 +111,7 @@
   need.idle = {"m-1", "m-2"};
   std::vector<mesh::Body> bodies = {mesh::Ask{7, true, "run-1"},
                                     mesh::Answer{7, 200, "{}"},
-                                    mesh::Status{{{2, need}}},
+                                    mesh::Status{{{2, need}}, {1.5, 2}},
                                     mesh::Move{"m-1", -1},
                                     mesh::Gone{{"m-3"}},
                                     mesh::Shed{1, 24.0},
@@ -131,7 +131,7 @@
   std::mt19937_64 random(7);
   PartNeed need;
   need.idle = {"m-1", "m-2", "m-3"};
-  const std::string frame = mesh::encode({"n0", mesh::Status{{{1, need}, {2, need}}}});
+  const std::string frame = mesh::encode({"n0", mesh::Status{{{1, need}, {2, need}}, {}}});
   const std::string job = job_text();
   int refused = 0;
   for (int i = 0; i < 3000; ++i) {
