Fleet as a class: assigned, moved, rented and returned by the hundred

Now news and advice tell CPUs by kind, owners choose which idle machines go, transactions carry as many as the state service allows, rentals run in parallel over zones, up to 50; thrift moves what may run on spot machines to them; machines are spared beside a queue too, if room is left. Excluded: idle time before a return (20 s before) as the main cause.

--- a/src/actors/fleet.cc
+++ b/src/actors/fleet.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <cmath>
+#include <utility>
 
 namespace eiderreel {
 
@@ -63,105 +64,146 @@
   return std::max(w, 1.0);
 }
 
-double Fleet::assigned_cpus(int part, bool ordinary_only) const {
-  double sum = 0;
+// What each part has and asks for, of ordinary and of spot machines.
+std::vector<Fleet::Deal> Fleet::deals() const {
+  std::vector<Deal> out(static_cast<std::size_t>(s_.parts));
   auto add = [&](const codec::MachineRecord& r) {
-    if (r.part != part || (ordinary_only && r.spot)) return;
-    if (const MachineType* t = type(r.type)) sum += t->cpus;
+    const MachineType* t = type(r.type);
+    if (r.part < 0 || r.part >= s_.parts || !t) return;
+    Deal& d = out[static_cast<std::size_t>(r.part)];
+    d.cpus[1] += t->cpus;
+    if (!r.spot) d.cpus[0] += t->cpus;
   };
   for (const auto& [id, m] : registrar_.view().machines) add(m.record);
-  for (const auto& [id, a] : assigning_) add(a.record);
-  return sum;
+  for (const auto& [id, a] : assigning_)
+    if (a.sent) add(a.record);
+  const auto needs = owner_.needs();
+  for (int p = 0; p < s_.parts; ++p) {
+    Deal& d = out[static_cast<std::size_t>(p)];
+    d.weight = weight(p);
+    auto it = needs.find(p);
+    if (it == needs.end()) continue;
+    const PartNeed& n = it->second;
+    d.asked[0] = (n.used_service_cpus + n.waiting_service_cpus) * k::kServiceRoom + n.waiting_cpus -
+                 n.waiting_spot_cpus;
+    d.asked[1] = n.used_cpus + n.waiting_cpus;
+  }
+  return out;
 }
 
 // A new machine goes where most is asked for what is there. Ordinary machines are dealt out by
 // what cannot run on spot ones, above all services; the guarantees count as a base, so that no
 // part is left bare.
-int Fleet::part_for(const std::string& type_name, bool spot) const {
-  const auto needs = owner_.needs();
-  const MachineType* t = type(type_name);
-  const double cpus = t ? t->cpus : 1;
+int Fleet::part_for(std::vector<Deal>& deals, double cpus, bool spot) {
   double all_weights = 0, all_cpus = cpus;
-  for (int p = 0; p < s_.parts; ++p) {
-    all_weights += weight(p);
-    all_cpus += assigned_cpus(p, !spot);
+  for (const Deal& d : deals) {
+    all_weights += d.weight;
+    all_cpus += d.cpus[spot];
   }
-  int best = 0;
+  std::size_t best = 0;
   double best_ratio = -1;
-  for (int p = 0; p < s_.parts; ++p) {
-    PartNeed n;
-    if (auto it = needs.find(p); it != needs.end()) n = it->second;
-    const double asked = spot ? n.used_cpus + n.waiting_cpus
-                              : (n.used_service_cpus + n.waiting_service_cpus) * k::kServiceRoom +
-                                    n.waiting_cpus - n.waiting_spot_cpus;
-    const double base = k::kBaseShare * all_cpus * weight(p) / all_weights;
-    const double ratio = (asked + base) / (assigned_cpus(p, !spot) + cpus);
-    if (ratio > best_ratio) {
-      best = p;
-      best_ratio = ratio;
-    }
+  for (std::size_t p = 0; p < deals.size(); ++p) {
+    const Deal& d = deals[p];
+    const double base = k::kBaseShare * all_cpus * d.weight / all_weights;
+    const double ratio = (d.asked[spot] + base) / (d.cpus[spot] + cpus);
+    if (ratio <= best_ratio) continue;
+    best = p;
+    best_ratio = ratio;
   }
-  return best;
+  deals[best].cpus[1] += cpus;
+  if (!spot) deals[best].cpus[0] += cpus;
+  return static_cast<int>(best);
 }
 
 void Fleet::assign(const Report& r, Reply reply) {
-  if (auto it = assigning_.find(r.machine); it != assigning_.end()) {
-    auto old = std::move(it->second.reply);
-    it->second.reply = std::move(reply);
-    old(503, "");
-    return;
-  }
   if (types_.empty()) return reply(503, "");
-  const codec::MachineRecord record{part_for(r.type, r.spot), r.type, r.zone, r.addr, r.spot};
-  assigning_[r.machine] = {std::move(reply), record};
+  auto [it, fresh] = assigning_.try_emplace(r.machine);
+  Reply old = std::exchange(it->second.reply, std::move(reply));
+  it->second.report = r;
+  if (!fresh) old(503, "");
+}
+
+// Machines that come up together are dealt out together, many in a transaction.
+void Fleet::assign_all() {
+  std::vector<std::string> batch;
+  std::vector<Deal> dealt;
+  for (auto& [id, a] : assigning_) {
+    if (a.sent) continue;
+    if (dealt.empty()) dealt = deals();
+    const Report& r = a.report;
+    const MachineType* t = type(r.type);
+    a.record = {part_for(dealt, t ? t->cpus : 1, r.spot), r.type, r.zone, r.addr, r.spot};
+    a.sent = true;
+    batch.push_back(id);
+    if (static_cast<int>(batch.size()) < s_.state_txn_ops) continue;
+    send_assignments(std::move(batch));
+    batch.clear();
+  }
+  if (!batch.empty()) send_assignments(std::move(batch));
+}
+
+void Fleet::send_assignments(std::vector<std::string> ids) {
   Commit c;
   c.pace = Pace::fleet;
   c.nonce = registrar_.nonce();
-  c.guards = {{codec::machine_key(r.machine), 0}};
-  c.writes = {{codec::machine_key(r.machine), codec::encode(record, c.nonce), false}};
-  c.done = [this, r, record](Outcome o, std::uint64_t) {
-    auto it = assigning_.find(r.machine);
-    Reply waiting = std::move(it->second.reply);
-    assigning_.erase(it);
-    rented_.erase(r.machine);
-    if (o != Outcome::ok) return waiting(503, "");
-    spdlog::info("machine assigned machine={} part={} type={} zone={} spot={}", r.machine,
-                 record.part, r.type, r.zone, r.spot);
-    owner_.report(r, std::move(waiting));
+  for (const auto& id : ids) {
+    c.guards.push_back({codec::machine_key(id), 0});
+    c.writes.push_back(
+        {codec::machine_key(id), codec::encode(assigning_.at(id).record, c.nonce), false});
+  }
+  c.done = [this, ids](Outcome o, std::uint64_t) {
+    // One that was assigned before holds up the others: each goes alone then.
+    if (o == Outcome::conflict && ids.size() > 1) {
+      for (const auto& id : ids) send_assignments({id});
+      return;
+    }
+    for (const auto& id : ids) {
+      auto it = assigning_.find(id);
+      Assigning a = std::move(it->second);
+      assigning_.erase(it);
+      rented_.erase(id);
+      if (o != Outcome::ok) {
+        a.reply(503, "");
+        continue;
+      }
+      spdlog::info("machine assigned machine={} part={} type={} zone={} spot={}", id, a.record.part,
+                   a.record.type, a.record.zone, a.record.spot);
+      owner_.report(a.report, std::move(a.reply));
+    }
   };
   registrar_.commit(std::move(c));
 }
 
 // ------------------------------------------------------------------------------ balance
 
-void Fleet::advise(const std::string& machine, int to) {
-  auto m = registrar_.view().machines.find(machine);
-  if (m == registrar_.view().machines.end() || m->second.record.part < 0) return;
-  auto p = registrar_.view().parts.find(m->second.record.part);
+void Fleet::advise(int from, int to, double cpus, bool spot) {
+  auto p = registrar_.view().parts.find(from);
   if (p == registrar_.view().parts.end()) return;
   ++counters_.moves;
+  const mesh::Move move{from, to, cpus, spot};
   if (p->second.owner == s_.node)
-    owner_.move({machine, to});
+    owner_.move(move);
   else
-    hooks_.send(p->second.owner, mesh::Move{machine, to});
+    hooks_.send(p->second.owner, move);
 }
 
 // Idle machines move from parts where nothing waits to the part in need.
 void Fleet::balance() {
   auto needs = owner_.needs();
+  double largest = 0;
+  for (const auto& t : types_) largest = std::max(largest, t.cpus);
   for (auto& [to, need] : needs) {
     double want = need.waiting_cpus;
     for (auto& [from, other] : needs) {
       if (from == to || other.waiting_cpus > need.waiting_cpus * k::kGiverWaits) continue;
-      while (want > 0 && !other.idle.empty()) {
-        const std::string id = other.idle.back();
-        other.idle.pop_back();
-        auto m = registrar_.view().machines.find(id);
-        if (m == registrar_.view().machines.end()) continue;
-        const MachineType* t = type(m->second.record.type);
-        if (!t || (m->second.record.spot && need.waiting_spot_cpus <= 0)) continue;
-        advise(id, to);
-        want -= t->cpus;
+      for (bool spot : {true, false}) {
+        double& idle = spot ? other.idle_spot_cpus : other.idle_cpus;
+        const double most = spot ? std::min(want, need.waiting_spot_cpus) : want;
+        if (most <= 0 || idle <= 0) continue;
+        const double give = std::min(idle, std::max(most, largest));
+        advise(from, to, give, spot);
+        idle -= give;
+        want -= give;
       }
     }
   }
@@ -191,105 +233,116 @@
   const Ms now = rt_.now();
   const auto needs = owner_.needs();
   if (static_cast<int>(needs.size()) < s_.parts) return;  // without news nothing is concluded
-  double waiting = 0, waiting_spot = 0, waiting_service = 0, work = 0, idle = 0, coming = 0;
-  double total = 0, used = 0, slack = 0;
+  PartNeed all;
   for (const auto& [p, n] : needs) {
-    waiting += n.waiting_cpus;
-    waiting_spot += n.waiting_spot_cpus;
-    waiting_service += n.waiting_service_cpus;
-    work += n.waiting_core_s;
-    total += n.total_cpus;
-    used += n.used_cpus;
-    slack = std::max(slack, n.slack_s);
-    for (const auto& id : n.idle)
-      if (auto m = registrar_.view().machines.find(id); m != registrar_.view().machines.end())
-        if (const MachineType* t = type(m->second.record.type)) idle += t->cpus;
+    all.waiting_cpus += n.waiting_cpus;
+    all.waiting_spot_cpus += n.waiting_spot_cpus;
+    all.waiting_service_cpus += n.waiting_service_cpus;
+    all.waiting_core_s += n.waiting_core_s;
+    all.total_cpus += n.total_cpus;
+    all.spot_cpus += n.spot_cpus;
+    all.used_cpus += n.used_cpus;
+    all.used_service_cpus += n.used_service_cpus;
+    all.slack_s = std::max(all.slack_s, n.slack_s);
+    all.idle_cpus += n.idle_cpus + n.idle_spot_cpus;
+    spdlog::debug(
+        "part need part={} waiting={:.0f} used={:.0f} services={:.0f} total={:.0f} idle={}", p,
+        n.waiting_cpus, n.used_cpus, n.used_service_cpus, n.total_cpus, n.idle_machines);
   }
+  double coming = 0, coming_spot = 0, boot = 0;
   for (const auto& [id, r] : rented_)
-    if (const MachineType* t = type(r.type)) coming += t->cpus;
-  double boot = 0;
+    if (const MachineType* t = type(r.type)) {
+      coming += t->cpus;
+      if (r.spot) coming_spot += t->cpus;
+    }
   for (const auto& t : types_) boot = std::max(boot, t.boot_s);
   // Where the usual slack before a deadline is long beside a boot time, thrift costs little:
   // enough is rented for the queue to be worked off within a part of the slack. (What is done
   // during a boot is not taken off: while work keeps coming, as much is added.) Services wait for
   // nothing. Elsewhere all that waits is rented for.
-  const bool thrift = slack >= k::kThriftBoots * boot;
+  const bool thrift = all.slack_s >= k::kThriftBoots * boot;
   const double asked =
-      thrift ? std::min(waiting, std::max(work / (slack * k::kPatience) - total, waiting_service))
-             : waiting;
-  for (const auto& [p, n] : needs)
-    spdlog::debug(
-        "part need part={} waiting={:.0f} used={:.0f} services={:.0f} total={:.0f} idle={}", p,
-        n.waiting_cpus, n.used_cpus, n.used_service_cpus, n.total_cpus, n.idle.size());
-  const double lack = asked - idle - coming;
+      thrift ? std::min(all.waiting_cpus,
+                        std::max(all.waiting_core_s / (all.slack_s * k::kPatience) - all.total_cpus,
+                                 all.waiting_service_cpus))
+             : all.waiting_cpus;
+  const double lack = asked - all.idle_cpus - coming;
   spdlog::debug(
       "fleet asked={:.0f} waiting={:.0f} work={:.0f} used={:.0f} idle={:.0f} coming={:.0f} "
-      "total={:.0f} "
-      "slack={:.1f}",
-      asked, waiting, work, used, idle, coming, total, slack);
+      "total={:.0f} spot={:.0f} slack={:.1f}",
+      asked, all.waiting_cpus, all.waiting_core_s, all.used_cpus, all.idle_cpus, coming,
+      all.total_cpus, all.spot_cpus, all.slack_s);
   if (lack <= 0) {
     short_since_ = 0;
   } else if (short_since_ == 0) {
     short_since_ = now;
   }
-  if (lack > 0 && now - short_since_ >= k::kNeedLastsMs && !renting_) {
-    // The cheapest core first; what may run on spot machines is rented there.
-    struct Offer {
-      const MachineType* t;
-      std::string zone;
-      bool spot;
-      double price;
-    };
-    std::vector<Offer> offers;
-    const bool spot_helps = waiting_spot > coming;
-    for (const auto& t : types_)
-      for (const auto& zone : t.zones)
-        for (bool spot : {true, false}) {
-          if (spot && !spot_helps) continue;
-          auto pause = refused_.find(t.name + "/" + zone + (spot ? "/spot" : "/"));
-          if (pause != refused_.end() && pause->second > now) continue;
-          offers.push_back({&t, zone, spot, (spot ? t.spot_price : t.price) / t.cpus});
-        }
-    auto best = std::min_element(offers.begin(), offers.end(),
-                                 [](const auto& a, const auto& b) { return a.price < b.price; });
-    if (best != offers.end()) {
-      const int count =
-          std::clamp(static_cast<int>(std::ceil(lack / best->t->cpus)), 1, k::kRentMost);
-      rent(*best->t, best->zone, best->spot, count);
+  const bool lasts = lack > 0 && now - short_since_ >= k::kNeedLastsMs;
+  // Where thrift pays, what may run on spot machines is moved to them while there are any.
+  const double cheaper = thrift ? all.used_cpus - all.used_service_cpus + all.waiting_spot_cpus -
+                                      all.spot_cpus - coming_spot
+                                : 0;
+  if (lasts || cheaper > 0)
+    rent_cheapest(lasts ? lack : 0, std::max(cheaper, all.waiting_spot_cpus > coming ? lack : 0.0));
+  // Machines idle for long are released while nothing waits, ordinary ones first: they are dearer.
+  double surplus = all.idle_cpus - all.waiting_cpus;
+  for (bool spot : {false, true})
+    for (const auto& [p, n] : needs) {
+      const double go = std::min(surplus, spot ? n.rested_spot_cpus : n.rested_cpus);
+      if (go <= 0) continue;
+      advise(p, -1, go, spot);
+      surplus -= go;
     }
-  }
-  // Machines idle for long are released, the dearest first, while nothing waits.
-  for (auto it = idle_since_.begin(); it != idle_since_.end();) {
-    bool still = false;
-    for (const auto& [p, n] : needs)
-      still |= std::find(n.idle.begin(), n.idle.end(), it->first) != n.idle.end();
-    it = still ? std::next(it) : idle_since_.erase(it);
-  }
-  for (const auto& [p, n] : needs)
-    for (const auto& id : n.idle) idle_since_.emplace(id, now);
-  // Where the usual slack is short beside a boot time, a machine let go is missed: it is kept.
-  std::string dearest;
-  double price = -1;
-  for (const auto& [id, since] : idle_since_) {
-    auto m = registrar_.view().machines.find(id);
-    if (m == registrar_.view().machines.end()) continue;
-    const MachineType* t = type(m->second.record.type);
-    const Ms keep = thrift ? k::kIdleReturnMs : k::kIdleKeepMs;
-    if (now - since < keep || (t && idle - t->cpus < waiting)) continue;
-    const double p = !t ? 0 : m->second.record.spot ? t->spot_price : t->price;
-    if (p > price) {
-      price = p;
-      dearest = id;
+}
+
+// The cheapest core first, evenly over the zones; on spot machines at most `spot_cpus`.
+void Fleet::rent_cheapest(double cpus, double spot_cpus) {
+  struct Offer {
+    const MachineType* t;
+    std::string zone;
+    bool spot;
+    double price;
+  };
+  std::vector<Offer> offers;
+  for (const auto& t : types_)
+    for (const auto& zone : t.zones)
+      for (bool spot : {true, false}) {
+        auto pause = refused_.find(slot(t, zone, spot));
+        if ((spot ? spot_cpus : cpus) <= 0 || renting_.count(slot(t, zone, spot)) ||
+            (pause != refused_.end() && pause->second > rt_.now()))
+          continue;
+        offers.push_back({&t, zone, spot, (spot ? t.spot_price : t.price) / t.cpus});
+      }
+  std::stable_sort(offers.begin(), offers.end(),
+                   [](const auto& a, const auto& b) { return a.price < b.price; });
+  for (std::size_t i = 0; i < offers.size();) {
+    std::size_t end = i;  // one type and kind, in all its zones
+    while (end < offers.size() && offers[end].t == offers[i].t &&
+           offers[end].spot == offers[i].spot)
+      ++end;
+    double& want = offers[i].spot ? spot_cpus : cpus;
+    for (; i < end; ++i) {
+      if (want <= 0) continue;
+      const Offer& o = offers[i];
+      const int count =
+          std::clamp(static_cast<int>(std::ceil(want / o.t->cpus / static_cast<double>(end - i))),
+                     1, k::kRentMost);
+      rent(*o.t, o.zone, o.spot, count);
+      want -= count * o.t->cpus;
+      if (o.spot) cpus -= count * o.t->cpus;
     }
   }
-  if (!dearest.empty()) advise(dearest, -1);
+}
+
+std::string Fleet::slot(const MachineType& t, const std::string& zone, bool spot) {
+  return t.name + "/" + zone + (spot ? "/spot" : "/");
 }
 
 void Fleet::rent(const MachineType& t, const std::string& zone, bool spot, int count) {
   // Invariant 10: the stamp of our claim is never given twice, and the counter not within it.
   auto part = registrar_.view().parts.find(0);
   if (part == registrar_.view().parts.end() || part->second.owner != s_.node) return;
-  renting_ = true;
+  renting_.insert(slot(t, zone, spot));
   send_charter(t, zone, spot, count,
                "r-" + std::to_string(part->second.stamp) + "-" + std::to_string(++charter_counter_),
                k::kCommitTries);
@@ -297,7 +350,6 @@
 
 void Fleet::send_charter(const MachineType& t, const std::string& zone, bool spot, int count,
                          const std::string& charter, int tries) {
-  const std::string slot = t.name + "/" + zone + (spot ? "/spot" : "/");
   call({"", "POST", "/machines", codec::rent_body(charter, t.name, zone, spot, count), 0},
        [=, this, t = t](HttpReply r) {
          if (r.status == 200) {
@@ -307,16 +359,16 @@
            spdlog::info("machines rented charter={} type={} zone={} spot={} asked={} got={}",
                         charter, t.name, zone, spot, count, ids.size());
            if (static_cast<int>(ids.size()) < count)
-             refused_[slot] = rt_.now() + k::kNoCapacityPauseMs;
+             refused_[slot(t, zone, spot)] = rt_.now() + k::kNoCapacityPauseMs;
          } else if (r.status == 503 || r.status == 400) {
-           refused_[slot] = rt_.now() + k::kNoCapacityPauseMs;
+           refused_[slot(t, zone, spot)] = rt_.now() + k::kNoCapacityPauseMs;
          } else if (tries > 1) {
            // Without an answer the same charter is asked again: it rents once at most.
            rt_.after(k::kRetryMs,
                      [=, this] { send_charter(t, zone, spot, count, charter, tries - 1); });
            return;
          }
-         renting_ = false;
+         renting_.erase(slot(t, zone, spot));
        });
 }
 
@@ -356,13 +408,14 @@
   const Ms now = rt_.now();
   const View& v = registrar_.view();
   const Ms lag = static_cast<Ms>(s_.list_lag_s * 2000 * (1 + k::kDrift));
+  std::vector<std::string> gone;
   for (auto it = known_.begin(); it != known_.end();) {
     const std::string id = it->first;
     const Known& e = it->second;
     // Once listed a machine stays listed until it is gone. This list describes a moment not
     // earlier than `lag` before it was asked for, so it is newer than the last that had it.
     if (!in_list_.count(id) && list_sent_ - lag > e.last_seen) {
-      forget(id);
+      gone.push_back(id);
       rented_.erase(id);
       it = known_.erase(it);
       continue;
@@ -380,6 +433,7 @@
     }
     ++it;
   }
+  forget(gone);
   for (auto it = rented_.begin(); it != rented_.end();) {
     const bool up = v.machines.count(it->first) > 0;
     const bool lost = !known_.count(it->first) && now - it->second.at > 4 * lag;
@@ -404,25 +458,36 @@
   registrar_.commit(std::move(c));
 }
 
-// The key of a machine that is gone is of no use.
-void Fleet::forget(const std::string& id) {
-  auto m = registrar_.view().machines.find(id);
-  if (m == registrar_.view().machines.end() || !changing_.insert(id).second) return;
+// The keys of machines that are gone are of no use.
+void Fleet::forget(const std::vector<std::string>& ids) {
   Commit c;
+  std::vector<std::string> mine;
+  for (const auto& id : ids) {
+    auto m = registrar_.view().machines.find(id);
+    if (m == registrar_.view().machines.end() || !changing_.insert(id).second) continue;
+    spdlog::info("machine forgotten machine={}", id);
+    mine.push_back(id);
+    c.guards.push_back({codec::machine_key(id), m->second.stamp});
+    c.writes.push_back({codec::machine_key(id), "", false});
+    if (static_cast<int>(mine.size()) == s_.state_txn_ops) break;
+  }
+  if (mine.empty()) return;
   c.pace = Pace::fleet;
   c.nonce = registrar_.nonce();
-  c.guards = {{codec::machine_key(id), m->second.stamp}};
-  c.writes = {{codec::machine_key(id), "", false}};
-  c.done = [this, id](Outcome, std::uint64_t) { changing_.erase(id); };
-  spdlog::info("machine forgotten machine={}", id);
+  c.done = [this, mine](Outcome, std::uint64_t) {
+    for (const auto& id : mine) changing_.erase(id);
+  };
   registrar_.commit(std::move(c));
+  const std::vector<std::string> rest(std::find(ids.begin(), ids.end(), mine.back()) + 1,
+                                      ids.end());
+  if (!rest.empty()) forget(rest);
 }
 
 void Fleet::return_released() {
   if (returning_) return;
   std::vector<std::string> ids;
   for (const auto& [id, m] : registrar_.view().machines)
-    if (m.record.part < 0 && !changing_.count(id) && ids.size() < 100) ids.push_back(id);
+    if (m.record.part < 0 && !changing_.count(id) && ids.size() < k::kReturnMost) ids.push_back(id);
   if (ids.empty()) return;
   returning_ = true;
   call({"", "POST", "/machines/return", codec::return_body(ids), 0}, [this, ids](HttpReply r) {
@@ -433,9 +498,8 @@
     for (const auto& id : ids) {
       spdlog::info("machine returned machine={}", id);
       rented_.erase(id);
-      idle_since_.erase(id);
-      forget(id);
     }
+    forget(ids);
   });
 }
 
@@ -451,10 +515,10 @@
     was_leading_ = true;
     leading_since_ = now;
     short_since_ = 0;
-    idle_since_.clear();
     rented_.clear();
     known_.clear();
   }
+  assign_all();
   if (!listing_ && now - listed_at_ >= k::kListEveryMs) list("");
   if (now - balanced_at_ >= k::kBalanceEveryMs) {
     balanced_at_ = now;
--- a/src/actors/fleet.h
+++ b/src/actors/fleet.h
@@ -33,9 +33,14 @@
     codec::ListedMachine listed;
     Ms last_seen = 0;
   };
-  struct Assigning {  // its commit is on its way
+  struct Assigning {
     Reply reply;
+    Report report;
     codec::MachineRecord record;
+    bool sent = false;  // its commit is on its way
+  };
+  struct Deal {  // what a part has and asks for; index 0: ordinary machines, 1: all
+    double weight = 0, cpus[2] = {0, 0}, asked[2] = {0, 0};
   };
   struct Rented {  // ours, not listed or not up yet
     std::string type, zone;
@@ -48,19 +53,22 @@
   void listed_all();
   void balance();
   void scale();
+  void rent_cheapest(double cpus, double spot_cpus);
+  static std::string slot(const MachineType& t, const std::string& zone, bool spot);
   void rent(const MachineType& t, const std::string& zone, bool spot, int count);
   void send_charter(const MachineType& t, const std::string& zone, bool spot, int count,
                     const std::string& charter, int tries);
   void release(const std::string& id, const codec::MachineRecord& record, std::uint64_t stamp);
   void return_released();
-  void forget(const std::string& id);
+  void forget(const std::vector<std::string>& ids);
   void call(HttpRequest r, std::function<void(HttpReply)> done);
   double weight(int part) const;
-  // CPUs assigned to a part: all, or those of ordinary machines only.
-  double assigned_cpus(int part, bool ordinary_only) const;
-  int part_for(const std::string& type, bool spot) const;
+  std::vector<Deal> deals() const;
+  static int part_for(std::vector<Deal>& deals, double cpus, bool spot);
+  void assign_all();
+  void send_assignments(std::vector<std::string> ids);
   const MachineType* type(const std::string& name) const;
-  void advise(const std::string& machine, int to);
+  void advise(int from, int to, double cpus, bool spot);
 
   Runtime& rt_;
   const Settings& s_;
@@ -68,7 +76,7 @@
   Owner& owner_;
   Hooks hooks_;
   std::vector<MachineType> types_;
-  bool catalog_asked_ = false, listing_ = false, returning_ = false, renting_ = false;
+  bool catalog_asked_ = false, listing_ = false, returning_ = false;
   Ms catalog_at_ = 0, listed_at_ = 0, list_sent_ = 0, balanced_at_ = 0, scaled_at_ = 0,
      short_since_ = 0;
   double tokens_ = 0;
@@ -81,7 +89,7 @@
   std::map<std::string, Assigning> assigning_;
   std::map<std::string, Ms> refused_;  // type/zone/kind -> when to ask again
   std::set<std::string> changing_;     // machine keys with a commit on its way
-  std::map<std::string, Ms> idle_since_;
+  std::set<std::string> renting_;      // type/zone/kind with a request on its way
   std::uint64_t charter_counter_ = 0;
   Counters counters_;
 };
--- a/src/actors/metrics.cc
+++ b/src/actors/metrics.cc
@@ -173,7 +173,7 @@
       number("waiting_cpus", n->second.waiting_cpus);
       number("used_cpus", n->second.used_cpus);
       number("total_cpus", n->second.total_cpus);
-      count("idle_machines", n->second.idle.size());
+      count("idle_machines", n->second.idle_machines);
     }
     if (auto p = own.find(part); p != own.end()) {
       const auto c = p->second->count();
--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -365,46 +365,65 @@
         o.parked.erase(parked);
         reply(503, "");
       }
-      o.leaving.erase(id);
       o.core->remove_machine(id);
     }
   }
 }
 
-// The leader's advice. Invariant 3: only the owner gives a machine away, idle, under guard.
+// The leader's advice. Invariant 3: only the owner gives machines away, idle, under guard. Those
+// that go are decided as a class, in as few transactions as the state service allows.
 void Owner::move(const mesh::Move& m) {
+  Owned* o = acting_owned(m.part);
+  if (!o || m.to == m.part || m.to >= s_.parts) return;
+  std::vector<std::string> batch;
+  for (const auto& id : o->core->idle_machines(m.spot, m.cpus, m.to < 0, rt_.now())) {
+    if (!registrar_.view().machines.count(id) || !o->core->begin_leave(id)) continue;
+    batch.push_back(id);
+    if (static_cast<int>(batch.size()) < s_.state_txn_ops) continue;
+    give_away(m.part, m.to, std::move(batch));
+    batch.clear();
+  }
+  if (!batch.empty()) give_away(m.part, m.to, std::move(batch));
+}
+
+void Owner::give_away(int part, int to, std::vector<std::string> machines) {
   const View& v = registrar_.view();
-  auto it = v.machines.find(m.machine);
-  if (it == v.machines.end() || it->second.record.part < 0 || m.part == it->second.record.part ||
-      m.part >= s_.parts)
-    return;
-  const int part = it->second.record.part;
-  Owned* o = acting_owned(part);
-  if (!o || o->leaving.count(m.machine) || !o->core->begin_leave(m.machine)) return;
-  o->leaving.insert(m.machine);
-  codec::MachineRecord record = it->second.record;
-  record.part = m.part;
+  const std::uint64_t term = owned_.at(part).core->term();
   Commit c;
   c.pace = Pace::fleet;
   c.nonce = registrar_.nonce();
-  c.guards = {{codec::machine_key(m.machine), it->second.stamp},
-              {codec::part_key(part), o->core->term()}};
-  c.writes = {{codec::machine_key(m.machine), codec::encode(record, c.nonce), false}};
-  const std::uint64_t term = o->core->term();
-  spdlog::info("machine moves machine={} from={} to={} term={}", m.machine, part, m.part, term);
-  c.done = [this, part, term, m, id = m.machine](Outcome out, std::uint64_t) {
+  c.guards = {{codec::part_key(part), term}};
+  for (const auto& id : machines) {
+    const auto& m = v.machines.at(id);
+    codec::MachineRecord record = m.record;
+    record.part = to;
+    c.guards.push_back({codec::machine_key(id), m.stamp});
+    c.writes.push_back({codec::machine_key(id), codec::encode(record, c.nonce), false});
+    spdlog::info("machine moves machine={} from={} to={} term={}", id, part, to, term);
+  }
+  c.done = [this, part, to, term, machines](Outcome out, std::uint64_t) {
     Owned* o = owned(part);
     if (!o || o->core->term() != term) return;
-    // In doubt it stays on its way out, since the commit may still land, and is tried again.
-    o->leaving.erase(id);
-    if (out == Outcome::unknown)
-      rt_.after(k::kRetryMs, [this, m] { move(m); });
-    else
-      o->core->end_leave(id);
+    // In doubt they stay on their way out, since the commit may still land, and are tried again.
+    if (out == Outcome::unknown) return try_again(part, to, term, machines);
+    for (const auto& id : machines) o->core->end_leave(id);
   };
   registrar_.commit(std::move(c));
 }
 
+void Owner::try_again(int part, int to, std::uint64_t term, std::vector<std::string> machines) {
+  rt_.after(k::kRetryMs, [this, part, to, term, machines] {
+    Owned* o = owned(part);
+    if (!o || o->core->term() != term) return;
+    std::vector<std::string> still;
+    for (const auto& id : machines)
+      if (o->core->has_machine(id) && registrar_.view().machines.count(id)) still.push_back(id);
+    if (still.empty()) return;
+    if (!acting(part)) return try_again(part, to, term, std::move(still));
+    give_away(part, to, std::move(still));
+  });
+}
+
 void Owner::shed(const mesh::Shed& s) {
   if (Owned* o = acting_owned(s.part)) o->core->shed(s.cpus, rt_.now());
 }
--- a/src/actors/owner.h
+++ b/src/actors/owner.h
@@ -71,7 +71,6 @@
     bool active = false;
     std::map<std::string, Parked> parked;
     std::map<std::string, Flush> flushes;
-    std::set<std::string> leaving;
   };
   struct PeerNews {
     Ms at = 0;
@@ -91,6 +90,8 @@
   void drop(int part, const char* reason);
   void answer(Owned& o, const std::string& machine, std::vector<Order> orders, Reply reply);
   void pump(Owned& o);
+  void give_away(int part, int to, std::vector<std::string> machines);
+  void try_again(int part, int to, std::uint64_t term, std::vector<std::string> machines);
   void send_kills(Owned& o);
   void flush(int part, Owned& o);
   void flush_job(int part, Owned& o, const std::string& id);
--- a/src/codec/mesh.capnp
+++ b/src/codec/mesh.capnp
@@ -45,14 +45,21 @@
   usedCpus @4 :Float64;
   usedServiceCpus @5 :Float64;
   totalCpus @6 :Float64;
-  idle @7 :List(Text);
+  idleCpus @7 :Float64;
   waitingCoreS @8 :Float64;
   slackS @9 :Float64;
+  idleSpotCpus @10 :Float64;
+  restedCpus @11 :Float64;
+  restedSpotCpus @12 :Float64;
+  idleMachines @13 :UInt32;
+  spotCpus @14 :Float64;
 }
 
-struct Move {                     # the leader's advice: give this idle machine to that part
-  machine @0 :Text;
-  part @1 :Int16;                 # -1: release it, to be returned
+struct Move {                     # the leader's advice: give idle machines to another part
+  part @0 :UInt16;
+  to @1 :Int16;                   # -1: release them, to be returned
+  cpus @2 :Float64;               # up to so many; the owner chooses which
+  spot @3 :Bool;                  # of this kind
 }
 
 struct Shed {                     # the leader's advice: let machines of this part run empty
--- a/src/codec/mesh.cc
+++ b/src/codec/mesh.cc
@@ -53,13 +53,20 @@
       b.setTotalCpus(n.total_cpus);
       b.setWaitingCoreS(n.waiting_core_s);
       b.setSlackS(n.slack_s);
-      put_names(b.initIdle(static_cast<unsigned>(n.idle.size())), n.idle);
+      b.setIdleCpus(n.idle_cpus);
+      b.setIdleSpotCpus(n.idle_spot_cpus);
+      b.setRestedCpus(n.rested_cpus);
+      b.setRestedSpotCpus(n.rested_spot_cpus);
+      b.setIdleMachines(n.idle_machines);
+      b.setSpotCpus(n.spot_cpus);
     }
   }
   void operator()(const Move& m) {
     auto b = e.initMove();
-    b.setMachine(m.machine);
-    b.setPart(static_cast<std::int16_t>(m.part));
+    b.setPart(static_cast<std::uint16_t>(m.part));
+    b.setTo(static_cast<std::int16_t>(m.to));
+    b.setCpus(m.cpus);
+    b.setSpot(m.spot);
   }
   void operator()(const Gone& m) {
     put_names(e.initGone().initMachines(static_cast<unsigned>(m.machines.size())), m.machines);
@@ -99,7 +106,12 @@
     n.total_cpus = b.getTotalCpus();
     n.waiting_core_s = b.getWaitingCoreS();
     n.slack_s = b.getSlackS();
-    n.idle = names(b.getIdle());
+    n.idle_cpus = b.getIdleCpus();
+    n.idle_spot_cpus = b.getIdleSpotCpus();
+    n.rested_cpus = b.getRestedCpus();
+    n.rested_spot_cpus = b.getRestedSpotCpus();
+    n.idle_machines = b.getIdleMachines();
+    n.spot_cpus = b.getSpotCpus();
     s.parts.emplace_back(b.getPart(), std::move(n));
   }
   return s;
@@ -126,7 +138,8 @@
       m.body = read_status(e.getStatus());
       break;
     case wire::Envelope::MOVE:
-      m.body = Move{e.getMove().getMachine().cStr(), e.getMove().getPart()};
+      m.body = Move{e.getMove().getPart(), e.getMove().getTo(), e.getMove().getCpus(),
+                    e.getMove().getSpot()};
       break;
     case wire::Envelope::GONE:
       m.body = Gone{names(e.getGone().getMachines())};
--- a/src/codec/mesh.h
+++ b/src/codec/mesh.h
@@ -24,8 +24,9 @@
   BudgetUse use;  // of the state service by the sender
 };
 struct Move {
-  std::string machine;
-  int part = -1;
+  int part = 0, to = -1;
+  double cpus = 0;
+  bool spot = false;
 };
 struct Gone {  // machines that the cloud has said to be gone
   std::vector<std::string> machines;
--- a/src/constants.h
+++ b/src/constants.h
@@ -108,16 +108,18 @@
 constexpr double kBaseShare = 0.5;        // share of machines dealt out by guarantees alone
 constexpr Ms kFleetEveryMs = 1000;        // ms
 constexpr Ms kNeedLastsMs = 2000;         // ms; a lack of room must last before it is rented for
-constexpr Ms kIdleReturnMs = 20000;       // ms; an idle machine is soon missed nowhere
+constexpr Ms kIdleReturnMs = 10000;       // ms; an idle machine is soon missed nowhere
 constexpr Ms kIdleKeepMs = 180000;        // ms; the same where slack is short beside a boot
-constexpr double kThriftBoots = 2.0;      // times the boot time; slack above it allows thrift
+constexpr double kThriftBoots = 1.2;      // times the boot time; slack above it allows thrift
 constexpr double kPatience = 0.2;         // share of the slack that a queue may last
 constexpr double kSlackWeight = 0.1;      // share of a new job in the usual slack
 constexpr Ms kSpareAfterMs = 4000;        // ms; room must be left over so long
+constexpr double kSpareRoom = 0.05;       // share of a part's CPUs that stays free beside the queue
 constexpr Ms kSpareNextMs = 500;          // ms; then one machine after the other
 constexpr Ms kNoCapacityPauseMs = 15000;  // ms; before a refused type and zone is asked again
 constexpr double kStuckBoots = 4.0;       // times ready_s before a starting machine is returned
-constexpr int kRentMost = 4;              // machines in one request; spreads over zones
+constexpr int kRentMost = 50;             // machines in one request; the cloud's limit
+constexpr std::size_t kReturnMost = 100;  // machines in one return; the cloud's limit
 
 }  // namespace constants
 }  // namespace eiderreel
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -62,6 +62,24 @@
   return it != machines_.end() && it->second->proven && it->second->tasks.empty();
 }
 
+std::vector<std::string> Part::idle_machines(bool spot, double cpus, bool rested, Ms now) const {
+  std::vector<const Machine*> idle;
+  for (const auto& [id, m] : machines_)
+    if (m->spot == spot && takes_work(*m, now) && m->tasks.empty() &&
+        (!rested || now - m->idle_since >= keep_ms()))
+      idle.push_back(m.get());
+  std::sort(idle.begin(), idle.end(), [](const Machine* a, const Machine* b) {
+    return std::tie(a->idle_since, a->id) < std::tie(b->idle_since, b->id);
+  });
+  std::vector<std::string> out;
+  for (const Machine* m : idle) {
+    if (m->type->cpus > cpus) continue;
+    cpus -= m->type->cpus;
+    out.push_back(m->id);
+  }
+  return out;
+}
+
 bool Part::begin_leave(const std::string& id) {
   if (!idle(id)) return false;
   machines_[id]->leaving = true;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -42,8 +42,11 @@
   double waiting_core_s = 0;  // work of the waiting tasks by their owners' estimates
   double slack_s = 0;         // usual time between a job's estimate and its deadline; 0: unknown
   double used_cpus = 0, used_service_cpus = 0;
-  double total_cpus = 0;
-  std::vector<std::string> idle;  // machines that hold nothing
+  double total_cpus = 0, spot_cpus = 0;  // of all machines, of spot ones
+  // Of machines that hold nothing, and of those that have held nothing for so long that they may
+  // go back; ordinary and spot ones. Never by name: a part may have hundreds.
+  double idle_cpus = 0, idle_spot_cpus = 0, rested_cpus = 0, rested_spot_cpus = 0;
+  std::uint32_t idle_machines = 0;
 };
 
 class Part {
@@ -61,6 +64,9 @@
   bool begin_leave(const std::string& id);
   void end_leave(const std::string& id);
   bool idle(const std::string& id) const;
+  // Idle machines of one kind, the longest idle first, of up to so many CPUs together. `rested`:
+  // only those that have held nothing for so long that they may go back.
+  std::vector<std::string> idle_machines(bool spot, double cpus, bool rested, Ms now) const;
 
   // Lets machines of about so many CPUs run empty: for a few seconds they take no new work.
   void shed(double cpus, Ms now);
@@ -194,6 +200,7 @@
   struct Totals {
     std::array<std::array<double, kFills>, 2> free{};  // CPUs that may be given, by kind and fill
     double kept = 0;                                   // free on machines that are not spared
+    double cpus = 0;                                   // of all machines that take work
   };
 
   void release(Machine& m, TaskKey key, bool again);
@@ -207,7 +214,10 @@
   bool takes_work(const Machine& m, Ms now) const;
   double room_on_fuller(const Machine& m, const Job& j) const;
   void survey(Ms now);
-  void spare(Machine* emptiest, double free, double largest, Ms now);
+  void spare(Machine* emptiest, double largest, Ms now);
+  bool thrift() const;
+  Ms keep_ms() const;
+  double waiting_cpus() const;
   void reorder(Ms now);
   const std::vector<Job*>& waiting();
   void look_for_image(Job& j, Ms now);
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -48,6 +48,7 @@
     Machine& m = *p;
     if (!takes_work(m, now)) continue;
     const double left = m.type->cpus - m.cpus;
+    totals_.cpus += m.type->cpus;
     totals_.free[m.spot][fill(m)] += left;
     if (m.spare) continue;
     totals_.kept += left;
@@ -56,20 +57,21 @@
     if (!emptiest || m.cpus < emptiest->cpus || (m.cpus == emptiest->cpus && m.id > emptiest->id))
       emptiest = &m;
   }
-  spare(emptiest, totals_.kept, largest, now);
+  spare(emptiest, largest, now);
 }
 
-// With nothing waiting and more than a machine's worth of free room for a while, the emptiest
-// machine without services is spared: it runs empty, and the leader may move or return it.
-void Part::spare(Machine* emptiest, double free, double largest, Ms now) {
-  if (has_waiting() || !emptiest ||
-      free - (emptiest->type->cpus - emptiest->cpus) < largest / 2 + emptiest->cpus) {
+// With more free room than the queue asks for, for a while, the emptiest machines without services
+// are spared, one after the other: they run empty, and the leader may move or return them.
+void Part::spare(Machine* emptiest, double largest, Ms now) {
+  auto left = [](const Machine& m) { return m.type->cpus - m.cpus; };
+  if (!emptiest || totals_.kept - left(*emptiest) <
+                       largest / 2 + constants::kSpareRoom * totals_.cpus + waiting_cpus()) {
     surplus_since_ = now;
     return;
   }
   if (now - surplus_since_ < constants::kSpareAfterMs) return;
   emptiest->spare = true;
-  totals_.kept -= emptiest->type->cpus - emptiest->cpus;
+  totals_.kept -= left(*emptiest);
   surplus_since_ = now - constants::kSpareAfterMs + constants::kSpareNextMs;
 }
 
@@ -107,8 +109,12 @@
 // to a part in need, or returned.
 double Part::room_on_fuller(const Machine& m, const Job& j) const {
   double room = 0;
-  for (int f = fill(m) + 1; f < kFills; ++f)
-    room += totals_.free[0][f] + (j.spec.spot ? totals_.free[1][f] : 0);
+  for (int f = 0; f < kFills; ++f) {
+    const bool fuller = f > fill(m);
+    if (fuller) room += totals_.free[0][f];
+    // Where thrift pays, spot machines are filled before dearer ones.
+    if (j.spec.spot && (fuller || (!m.spot && thrift()))) room += totals_.free[1][f];
+  }
   return room;
 }
 
--- a/src/core/queue.cc
+++ b/src/core/queue.cc
@@ -55,6 +55,23 @@
   return !j.bad_machines.count(m.id) || j.bad_machines.size() >= machines_.size();
 }
 
+// Where the usual slack before a deadline is long beside a boot time, a machine let go costs
+// little: it is there again before a job is late.
+bool Part::thrift() const {
+  double boot = 0;
+  for (const auto& [name, t] : types_) boot = std::max(boot, t.boot_s);
+  return slack_s_ >= constants::kThriftBoots * boot;
+}
+
+Ms Part::keep_ms() const { return thrift() ? constants::kIdleReturnMs : constants::kIdleKeepMs; }
+
+double Part::waiting_cpus() const {
+  double sum = 0;
+  for (const Job* j : order_)
+    if (!j->held && j->not_before <= now_) sum += j->queued * j->spec.cpus;
+  return sum;
+}
+
 PartNeed Part::need(Ms now) const {
   PartNeed n;
   std::vector<double> room(teams_.size());
@@ -73,11 +90,15 @@
     n.waiting_core_s += j->queued * j->spec.cpus * j->spec.estimate_s;
   }
   for (const auto& [id, m] : machines_) {
-    if (m->gone || !m->reported || !m->type) continue;
-    n.total_cpus += m->type->cpus;
-    if (m->proven && m->tasks.empty() && !m->leaving) n.idle.push_back(id);
+    if (m->gone || !m->reported || !m->type || m->leaving) continue;
+    const double cpus = m->type->cpus;
+    n.total_cpus += cpus;
+    if (m->spot) n.spot_cpus += cpus;
+    if (!takes_work(*m, now) || !m->tasks.empty()) continue;
+    ++n.idle_machines;
+    (m->spot ? n.idle_spot_cpus : n.idle_cpus) += cpus;
+    if (now - m->idle_since >= keep_ms()) (m->spot ? n.rested_spot_cpus : n.rested_cpus) += cpus;
   }
-  std::sort(n.idle.begin(), n.idle.end());
   n.slack_s = slack_s_;
   return n;
 }
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -108,11 +108,11 @@
 TEST(MeshCodec, EveryMessageComesBack) {
   PartNeed need;
   need.waiting_cpus = 3.5;
-  need.idle = {"m-1", "m-2"};
+  need.idle_machines = 2;
   std::vector<mesh::Body> bodies = {mesh::Ask{7, true, "run-1"},
                                     mesh::Answer{7, 200, "{}"},
                                     mesh::Status{{{2, need}}, {1.5, 2}},
-                                    mesh::Move{"m-1", -1},
+                                    mesh::Move{1, -1, 64, true},
                                     mesh::Gone{{"m-3"}},
                                     mesh::Shed{1, 24.0},
                                     mesh::PledgeAsk{4, 3000, {{1, 77}}},
@@ -130,7 +130,7 @@
 TEST(Malformed, MeshFramesAndJsonDoNoHarm) {
   std::mt19937_64 random(7);
   PartNeed need;
-  need.idle = {"m-1", "m-2", "m-3"};
+  need.idle_machines = 3;
   const std::string frame = mesh::encode({"n0", mesh::Status{{{1, need}, {2, need}}, {}}});
   const std::string job = job_text();
   int refused = 0;
