--- a/src/constants.h
+++ b/src/constants.h
@@ -44,15 +44,17 @@
 constexpr int kJobBadMachines = 3;      // a job that failed on so many machines is itself suspect
 constexpr Ms kImageWaitMs = 900;        // ms; a service waits so long for a machine with its image
 constexpr Ms kServicePackMs = 500;      // ms; a service waits so long to join other services
-constexpr Ms kPackWaitMs = 1500;        // ms; an array waits so long for fuller machines
-constexpr Ms kPreemptAfterMs = 250;     // ms; several machines have reported by then
-constexpr Ms kReclaimByMs = 4000;       // ms; a guarantee is reclaimed within the usual 5 s
-constexpr Ms kReclaimSoonestMs = 500;   // ms; at once would stop work that ends by itself
-constexpr Ms kReorderMs = 250;          // ms; how stale the order of the queue may be
-constexpr Ms kStartAllowanceMs = 3000;  // ms; from start to running, over the estimate
-constexpr Ms kUnboundedMs = 300000;     // ms; the latest start of a job without aim or deadline
-constexpr int kPatienceBounds = 4;      // times its last aim; a job that late goes first again
-constexpr int kAttemptBits = 24;        // bits; attempts within one term, below the term's bits
+constexpr double kReserveShare = 1.0 / 16;  // of a machine with services, at most, is kept for them
+constexpr double kReserveReplicas = 2;      // so many are likely to come before a report
+constexpr Ms kPackWaitMs = 1500;            // ms; an array waits so long for fuller machines
+constexpr Ms kPreemptAfterMs = 250;         // ms; several machines have reported by then
+constexpr Ms kReclaimByMs = 4000;           // ms; a guarantee is reclaimed within the usual 5 s
+constexpr Ms kReclaimSoonestMs = 500;       // ms; at once would stop work that ends by itself
+constexpr Ms kReorderMs = 250;              // ms; how stale the order of the queue may be
+constexpr Ms kStartAllowanceMs = 3000;      // ms; from start to running, over the estimate
+constexpr Ms kUnboundedMs = 300000;         // ms; the latest start of a job without aim or deadline
+constexpr int kPatienceBounds = 4;          // times its last aim; a job that late goes first again
+constexpr int kAttemptBits = 24;            // bits; attempts within one term, below the term's bits
 
 // --- state service ------------------------------------------------------------------------
 constexpr double kBudgetShare = 0.9;   // share of the rates used; the rest absorbs clock skew
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -278,7 +278,12 @@
   m.cpus += b.cpus;
   m.gpus += b.gpus;
   m.memory_gb += b.memory_gb;
-  if (service) m.service_cpus += b.cpus;
+  if (service) {
+    m.service_cpus += b.cpus;
+    m.service_size = std::max(m.service_size, b.cpus);
+  }
+  // From now on it has the image or fetches it, so whoever needs it too is best sent here.
+  m.images.insert(j.spec.image);
   team_cpus_[b.team] += b.cpus;
   team_gpus_[b.team] += b.gpus;
   if (j.state[i] == State::queued) {
@@ -424,7 +429,6 @@
         if (b.phase == TaskPhase::running && t.phase != TaskPhase::running) --b.job->running;
       }
       b.phase = t.phase;
-      if (b.job && t.phase == TaskPhase::running) m.images.insert(b.job->spec.image);
     } else if (bt == m.tasks.end() && j && j->state[t.index] == State::queued) {
       bind(m, *j, t.index, t.attempt, t.phase);  // found after a takeover
     } else if (bt == m.tasks.end()) {
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -161,8 +161,9 @@
     std::map<TaskKey, Bound> tasks;
     double cpus = 0, gpus = 0, memory_gb = 0;  // taken
     double service_cpus = 0;                   // that part of it that services take
+    double service_size = 0;                   // CPUs of the largest service here
     int unknown = 0;                           // tasks here of jobs that we do not know
-    std::set<std::string> images;              // those that a task here has had
+    std::set<std::string> images;  // those that a task here has had, or has been sent for
     int errors = 0;
     Ms shun_until = 0, shun_ms = 0;
   };
@@ -211,10 +212,11 @@
   void note_error(Machine& m, Job& j, Ms now);
   bool may_start(const Machine& m, const Job& j, const Proof& proof, Ms now) const;
   static Fill fill(const Machine& m);
+  static double reserve(const Machine& m);
   bool takes_work(const Machine& m, Ms now) const;
   double room_on_fuller(const Machine& m, const Job& j) const;
   void survey(Ms now);
-  void spare(Machine* emptiest, double largest, Ms now);
+  void spare(double surplus, Ms now);
   bool thrift() const;
   Ms keep_ms() const;
   double waiting_cpus() const;
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -43,36 +43,42 @@
 void Part::survey(Ms now) {
   totals_ = {};
   double largest = 0;
-  Machine* emptiest = nullptr;
   for (auto& [id, p] : machines_) {
-    Machine& m = *p;
+    const Machine& m = *p;
     if (!takes_work(m, now)) continue;
-    const double left = m.type->cpus - m.cpus;
+    const double left = std::max(0.0, m.type->cpus - m.cpus - reserve(m));
     totals_.cpus += m.type->cpus;
     totals_.free[m.spot][fill(m)] += left;
-    if (m.spare) continue;
-    totals_.kept += left;
+    if (!m.spare) totals_.kept += left;
     largest = std::max(largest, m.type->cpus);
-    if (m.service_cpus > 0) continue;
-    if (!emptiest || m.cpus < emptiest->cpus || (m.cpus == emptiest->cpus && m.id > emptiest->id))
-      emptiest = &m;
   }
-  spare(emptiest, largest, now);
+  // With more free room than the queue asks for, for a while, some machines are spared: they run
+  // empty, and the leader may move or return them.
+  const double surplus =
+      totals_.kept - largest / 2 - constants::kSpareRoom * totals_.cpus - waiting_cpus();
+  if (surplus <= 0) {
+    surplus_since_ = now;
+  } else if (now - surplus_since_ >= constants::kSpareAfterMs) {
+    spare(surplus, now);
+    surplus_since_ = now - constants::kSpareAfterMs + constants::kSpareNextMs;
+  }
 }
 
-// With more free room than the queue asks for, for a while, the emptiest machines without services
-// are spared, one after the other: they run empty, and the leader may move or return them.
-void Part::spare(Machine* emptiest, double largest, Ms now) {
-  auto left = [](const Machine& m) { return m.type->cpus - m.cpus; };
-  if (!emptiest || totals_.kept - left(*emptiest) <
-                       largest / 2 + constants::kSpareRoom * totals_.cpus + waiting_cpus()) {
-    surplus_since_ = now;
-    return;
+// The emptiest machines without services, of about so much free room, dear ones first.
+void Part::spare(double surplus, Ms now) {
+  std::vector<Machine*> candidates;
+  for (auto& [id, m] : machines_)
+    if (takes_work(*m, now) && !m->spare && m->service_cpus == 0) candidates.push_back(m.get());
+  std::sort(candidates.begin(), candidates.end(), [](const Machine* a, const Machine* b) {
+    return std::tie(a->cpus, a->spot, a->id) < std::tie(b->cpus, b->spot, b->id);
+  });
+  for (Machine* m : candidates) {
+    const double left = m->type->cpus - m->cpus;
+    if (left > surplus) return;
+    m->spare = true;
+    surplus -= left;
+    totals_.kept -= left;
   }
-  if (now - surplus_since_ < constants::kSpareAfterMs) return;
-  emptiest->spare = true;
-  totals_.kept -= left(*emptiest);
-  surplus_since_ = now - constants::kSpareAfterMs + constants::kSpareNextMs;
 }
 
 // Whether other machines have the image of a waiting service, and room that no service takes.
@@ -96,9 +102,8 @@
   if (j.spec.kind != Kind::service) return false;
   const Ms waited = now - j.waiting_since;
   const bool image = m.images.count(j.spec.image) > 0;
-  // Joining pays only where a report of such a machine is likely within the wait.
-  const bool service = m.service_cpus > 0 || limits_.report_ms > 2 * constants::kServicePackMs;
-  if (waited >= (image ? constants::kServicePackMs : constants::kImageWaitMs) || (image && service))
+  if (waited >= (image ? constants::kServicePackMs : constants::kImageWaitMs) ||
+      (image && m.service_cpus > 0))
     return false;
   look_for_image(j, now);
   return image ? j.image_and_services_elsewhere : j.image_elsewhere;
@@ -228,17 +233,31 @@
   return at_once;
 }
 
+// A machine with services keeps room for the next ones: without it arrays would take what a service
+// leaves, and the next service would have to stop them.
+double Part::reserve(const Machine& m) {
+  if (m.service_cpus <= 0 || !m.type) return 0;
+  const double most = m.type->cpus * constants::kReserveShare;
+  return m.service_size <= most ? std::min(most, constants::kReserveReplicas * m.service_size) : 0;
+}
+
 // Work within a guarantee goes first, then borrowing; each in the order of the queue. The tasks of
 // a job are alike, so they are decided together.
 void Part::launch(Machine& m, bool within, const Proof& proof, Ms now, std::vector<Order>& out) {
   const Ms pack_ms = std::min(constants::kPackWaitMs, limits_.report_ms * 5 / 4);
+  // By then every other machine has reported.
+  const Ms spare_ms = pack_ms + limits_.report_ms * 5 / 4;
   for (Job* j : waiting()) {
     if (m.cpus + least_cpus_ > m.type->cpus + kEps) return;
     if (!may_start(m, *j, proof, now) || better_elsewhere(m, *j, now)) continue;
-    const bool packs = j->spec.kind == Kind::array && now - j->waiting_since < pack_ms;
+    const Ms waited = now - j->waiting_since;
+    const bool packs = j->spec.kind == Kind::array && waited < pack_ms;
     while (j->queued > 0 && fits(m, *j, proof.cpus)) {
       const double wanted = j->queued * j->spec.cpus;
-      if (packs && (wanted <= room_on_fuller(m, *j) || (m.spare && wanted <= totals_.kept))) break;
+      if (packs && wanted <= room_on_fuller(m, *j)) break;
+      if (j->spec.kind == Kind::array && m.cpus + j->spec.cpus + reserve(m) > m.type->cpus + kEps)
+        break;
+      if (m.spare && waited < spare_ms && wanted <= totals_.kept) break;
       if (within && team_cpus_[j->team] + j->spec.cpus > teams_[j->team].cpus + kEps) break;
       m.spare = false;
       start_one(m, *j, out);
