--- a/src/actors/fleet.cc
+++ b/src/actors/fleet.cc
@@ -255,6 +255,13 @@
       coming += t->cpus;
       if (r.spot) coming_spot += t->cpus;
     }
+  // Guard: at a start of the whole service hundreds of machines are up that no part has yet.
+  for (const auto& [id, m] : known_)
+    if (m.listed.phase != "failed" && !rented_.count(id) && !registrar_.view().machines.count(id))
+      if (const MachineType* t = type(m.listed.type)) {
+        coming += t->cpus;
+        if (m.listed.spot) coming_spot += t->cpus;
+      }
   for (const auto& t : types_) boot = std::max(boot, t.boot_s);
   // Where the usual slack before a deadline is long beside a boot time, thrift costs little:
   // enough is rented for the queue to be worked off within a part of the slack. (What is done
@@ -285,14 +292,17 @@
   if (lasts || cheaper > 0)
     rent_cheapest(lasts ? lack : 0, std::max(cheaper, all.waiting_spot_cpus > coming ? lack : 0.0));
   // Machines idle for long are released while nothing waits, ordinary ones first: they are dearer.
+  // Guard: spot ones that dearer machines do the work of would be rented again at once.
   double surplus = all.idle_cpus - all.waiting_cpus;
-  for (bool spot : {false, true})
+  for (bool spot : {false, true}) {
+    if (spot && thrift) surplus = std::min(surplus, -cheaper);
     for (const auto& [p, n] : needs) {
       const double go = std::min(surplus, spot ? n.rested_spot_cpus : n.rested_cpus);
       if (go <= 0) continue;
       advise(p, -1, go, spot);
       surplus -= go;
     }
+  }
 }
 
 // The cheapest core first, evenly over the zones; on spot machines at most `spot_cpus`.
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -271,7 +271,16 @@
 
 void Part::bind(Machine& m, Job& j, std::uint32_t i, std::uint64_t attempt, TaskPhase p) {
   const bool service = j.spec.kind == Kind::service;
-  Bound b{&j, attempt, p, false, j.spec.cpus, j.spec.gpus, j.spec.memory_gb, j.team, service};
+  Bound b{&j,
+          attempt,
+          p,
+          false,
+          j.spec.cpus,
+          j.spec.gpus,
+          j.spec.memory_gb,
+          j.team,
+          service,
+          now_ + static_cast<Ms>(j.spec.estimate_s * 1000)};
   m.tasks[{j.spec.id, i}] = b;
   totals_.free[m.spot][fill(m)] -= b.cpus;
   if (!m.spare) totals_.kept -= b.cpus;
@@ -433,7 +442,7 @@
       bind(m, *j, t.index, t.attempt, t.phase);  // found after a takeover
     } else if (bt == m.tasks.end()) {
       // Not ours to run: its job is over, or the task is done. It holds room until it is gone.
-      Bound b{nullptr, t.attempt, t.phase, true, 0, 0, 0, -1, false};
+      Bound b{nullptr, t.attempt, t.phase, true, 0, 0, 0, -1, false, now};
       if (!j) count_unknown(m, 1);
       if (j) b.cpus = j->spec.cpus, b.gpus = j->spec.gpus, b.memory_gb = j->spec.memory_gb;
       if (j) b.team = j->team, team_cpus_[b.team] += b.cpus, team_gpus_[b.team] += b.gpus;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -139,6 +139,7 @@
     double cpus = 0, gpus = 0, memory_gb = 0;  // kept by an orphan until it is gone
     int team = -1;
     bool service = false;
+    Ms ends = 0;         // by its owner's estimate
     double grace_s = 0;  // told with the kill
   };
   using TaskKey = std::pair<std::string, std::uint32_t>;
@@ -183,10 +184,11 @@
     int stage = 0;           // aims that it can no longer meet
     Ms latest_start = 0;
     Ms waiting_since = 0;  // when the first of its queued tasks began to wait
-    // Of a service that waits: whether a machine with its image could take it, and whether one
-    // could that runs services too; looked for at most once a tick.
+    // Of a service that waits: whether a machine with its image could take it, and how many
+    // services such a one runs at most; looked for at most once a tick.
     Ms looked_at = -1;
-    bool image_elsewhere = false, image_and_services_elsewhere = false;
+    bool image_elsewhere = false;
+    double most_services = 0;  // CPUs
   };
   // How full a machine is, in steps: the higher, the sooner it is filled further.
   enum Fill { kIdle, kEmptier, kFuller, kServices, kFills };
@@ -217,6 +219,11 @@
   double room_on_fuller(const Machine& m, const Job& j) const;
   void survey(Ms now);
   void spare(double surplus, Ms now);
+  void use_spared(double wanted, Ms now);
+  static Ms empty_at(const Machine& m);
+  std::vector<Machine*> by_emptiness(Ms now, bool spared);
+  double unit() const;
+  double left(const Machine& m) const;
   bool thrift() const;
   Ms keep_ms() const;
   double waiting_cpus() const;
@@ -251,6 +258,7 @@
   bool waiting_known_ = false, proof_known_ = false;
   Proof proof_;
   Totals totals_;
+  double unit_ = 0;  // see `unit`
   Ms reordered_ = 0;
   double slack_s_ = 0;
   Ms surplus_since_ = 0;
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -39,74 +39,114 @@
          m.shun_until <= now && m.shed_until <= now && m.unknown == 0;
 }
 
+// The smallest task of the open arrays: less room than that is of no use to them.
+double Part::unit() const {
+  double least = 0;
+  for (const Job* j : order_)
+    if (j->spec.kind == Kind::array && (least == 0 || j->spec.cpus < least)) least = j->spec.cpus;
+  return least;
+}
+
+// Free room that arrays can use here.
+double Part::left(const Machine& m) const {
+  const double cpus = std::max(0.0, m.type->cpus - m.cpus - reserve(m));
+  return unit_ > 0 ? std::floor(cpus / unit_ + kEps) * unit_ : cpus;
+}
+
 // One pass over the machines.
 void Part::survey(Ms now) {
   totals_ = {};
+  unit_ = unit();
   double largest = 0;
   for (auto& [id, p] : machines_) {
     const Machine& m = *p;
     if (!takes_work(m, now)) continue;
-    const double left = std::max(0.0, m.type->cpus - m.cpus - reserve(m));
     totals_.cpus += m.type->cpus;
-    totals_.free[m.spot][fill(m)] += left;
-    if (!m.spare) totals_.kept += left;
+    totals_.free[m.spot][fill(m)] += left(m);
+    if (!m.spare) totals_.kept += left(m);
     largest = std::max(largest, m.type->cpus);
   }
   // With more free room than the queue asks for, for a while, some machines are spared: they run
-  // empty, and the leader may move or return them.
-  const double surplus =
-      totals_.kept - largest / 2 - constants::kSpareRoom * totals_.cpus - waiting_cpus();
-  if (surplus <= 0) {
-    surplus_since_ = now;
-  } else if (now - surplus_since_ >= constants::kSpareAfterMs) {
+  // empty, and the leader may move or return them. With less, some are taken into use again.
+  const double wanted = waiting_cpus();
+  const double surplus = totals_.kept - largest / 2 - constants::kSpareRoom * totals_.cpus - wanted;
+  if (surplus <= 0) surplus_since_ = now;
+  if (wanted > totals_.kept) {
+    use_spared(wanted - totals_.kept, now);
+  } else if (surplus > 0 && now - surplus_since_ >= constants::kSpareAfterMs) {
     spare(surplus, now);
     surplus_since_ = now - constants::kSpareAfterMs + constants::kSpareNextMs;
   }
 }
 
-// The emptiest machines without services, of about so much free room, dear ones first.
+// The machines without services that will be empty soonest, of about so much free room.
 void Part::spare(double surplus, Ms now) {
-  std::vector<Machine*> candidates;
-  for (auto& [id, m] : machines_)
-    if (takes_work(*m, now) && !m->spare && m->service_cpus == 0) candidates.push_back(m.get());
-  std::sort(candidates.begin(), candidates.end(), [](const Machine* a, const Machine* b) {
-    return std::tie(a->cpus, a->spot, a->id) < std::tie(b->cpus, b->spot, b->id);
-  });
-  for (Machine* m : candidates) {
-    const double left = m->type->cpus - m->cpus;
-    if (left > surplus) return;
+  for (Machine* m : by_emptiness(now, false)) {
+    if (m->service_cpus > 0) continue;
+    if (left(*m) > surplus) return;
     m->spare = true;
-    surplus -= left;
-    totals_.kept -= left;
+    surplus -= left(*m);
+    totals_.kept -= left(*m);
+  }
+}
+
+// Those of the spared ones that stay busy longest: taken as they report, all would hold a little
+// for ever.
+void Part::use_spared(double wanted, Ms now) {
+  const auto spared = by_emptiness(now, true);
+  for (auto it = spared.rbegin(); it != spared.rend() && wanted > 0; ++it) {
+    (*it)->spare = false;
+    wanted -= left(**it);
+    totals_.kept += left(**it);
   }
 }
 
+// When all that runs here will have ended, by the owners' estimates.
+Ms Part::empty_at(const Machine& m) {
+  Ms at = 0;
+  for (const auto& [key, b] : m.tasks) at = std::max(at, b.ends);
+  return at;
+}
+
+// Those that will be empty soonest first: one long task holds a machine as much as sixteen. Where
+// thrift pays, spot machines come last.
+std::vector<Part::Machine*> Part::by_emptiness(Ms now, bool spared) {
+  using Key = std::tuple<bool, Ms, double, std::string>;
+  std::vector<std::pair<Key, Machine*>> keyed;
+  const bool by_kind = thrift();
+  for (auto& [id, m] : machines_)
+    if (takes_work(*m, now) && m->spare == spared)
+      keyed.emplace_back(Key{by_kind && m->spot, empty_at(*m), m->cpus, id}, m.get());
+  std::sort(keyed.begin(), keyed.end());
+  std::vector<Machine*> out;
+  for (const auto& [key, m] : keyed) out.push_back(m);
+  return out;
+}
+
 // Whether other machines have the image of a waiting service, and room that no service takes.
 void Part::look_for_image(Job& j, Ms now) {
   if (j.looked_at >= 0 && now - j.looked_at < constants::kTickMs) return;
   j.looked_at = now;
-  j.image_elsewhere = j.image_and_services_elsewhere = false;
+  j.image_elsewhere = false;
+  j.most_services = 0;
   for (const auto& [id, o] : machines_) {
     if (!takes_work(*o, now) || o->service_cpus + j.spec.cpus > o->type->cpus ||
         !o->images.count(j.spec.image) || !allowed(j.spec, *o->type, o->zone, o->spot))
       continue;
     j.image_elsewhere = true;
-    j.image_and_services_elsewhere |= o->service_cpus > 0;
-    if (j.image_and_services_elsewhere) return;
+    j.most_services = std::max(j.most_services, o->service_cpus);
   }
 }
 
 // A service waits a moment for a machine that has its image, since the fetch takes far longer,
-// and a shorter one for a machine that runs services already, so that others can run empty.
+// and a shorter one for a machine that runs more services, so that others can run empty.
 bool Part::better_elsewhere(const Machine& m, Job& j, Ms now) {
   if (j.spec.kind != Kind::service) return false;
   const Ms waited = now - j.waiting_since;
   const bool image = m.images.count(j.spec.image) > 0;
-  if (waited >= (image ? constants::kServicePackMs : constants::kImageWaitMs) ||
-      (image && m.service_cpus > 0))
-    return false;
+  if (waited >= (image ? constants::kServicePackMs : constants::kImageWaitMs)) return false;
   look_for_image(j, now);
-  return image ? j.image_and_services_elsewhere : j.image_elsewhere;
+  return image ? m.service_cpus < j.most_services * constants::kServicesAlike : j.image_elsewhere;
 }
 
 // Free room for the job on machines that are to be filled before this one. What fits there waits
@@ -140,15 +180,15 @@
   }
 }
 
-// The order in which machines are to be filled: with services first, then the fullest, large
-// before small, so that others run empty.
+// The order in which machines are to be filled: the most services first, then the fullest, so that
+// others run empty.
 std::vector<std::string> Part::fullest_first(std::vector<std::string> ids) const {
   using Key = std::tuple<Fill, double, double>;
   std::vector<std::pair<Key, std::string>> keyed;
   for (auto& id : ids)
     if (auto it = machines_.find(id); it != machines_.end()) {
       const Machine& m = *it->second;
-      keyed.emplace_back(Key{fill(m), m.type ? m.type->cpus : 0, m.cpus}, std::move(id));
+      keyed.emplace_back(Key{fill(m), m.service_cpus, m.cpus}, std::move(id));
     }
   std::sort(keyed.begin(), keyed.end(), std::greater<>());
   ids.clear();
@@ -252,12 +292,13 @@
     if (!may_start(m, *j, proof, now) || better_elsewhere(m, *j, now)) continue;
     const Ms waited = now - j->waiting_since;
     const bool packs = j->spec.kind == Kind::array && waited < pack_ms;
+    // A spared machine is left alone, but not for longer than all others take to report.
+    if (m.spare && waited < spare_ms) continue;
     while (j->queued > 0 && fits(m, *j, proof.cpus)) {
       const double wanted = j->queued * j->spec.cpus;
       if (packs && wanted <= room_on_fuller(m, *j)) break;
       if (j->spec.kind == Kind::array && m.cpus + j->spec.cpus + reserve(m) > m.type->cpus + kEps)
         break;
-      if (m.spare && waited < spare_ms && wanted <= totals_.kept) break;
       if (within && team_cpus_[j->team] + j->spec.cpus > teams_[j->team].cpus + kEps) break;
       m.spare = false;
       start_one(m, *j, out);
