Machines that do not hear, late copies, starvation: guards, traces, a checker of the added rules

A machine whose reports arrive but which answers don't reach: signs are launches that never show, a tenure that ends although we answered, a term that does not follow. One sign: one task on trial; three (two for a term): no 200 until its lease is over by our clock, then a shunned trial again. A late copy of a report of a machine that is gone is not assigned; a key that no list has is forgotten. A job of which nothing began for two minutes goes first, within a guarantee or not. The checker knows: forgotten after 75 s, half served, begun in four minutes, each shown to fail.

--- a/src/actors/fleet.cc
+++ b/src/actors/fleet.cc
@@ -116,7 +116,8 @@
 }
 
 void Fleet::assign(const Report& r, Reply reply) {
-  if (types_.empty()) return reply(503, "");
+  // Guard: a late copy of a report is no reason to assign a machine that is gone.
+  if (types_.empty() || gone_.count(r.machine)) return reply(503, "");
   auto [it, fresh] = assigning_.try_emplace(r.machine);
   Reply old = std::exchange(it->second.reply, std::move(reply));
   it->second.report = r;
@@ -419,6 +420,13 @@
   const View& v = registrar_.view();
   const Ms lag = static_cast<Ms>(s_.list_lag_s * 2000 * (1 + k::kDrift));
   std::vector<std::string> gone;
+  // Guard: a key may stand for a machine that was gone before we led, and that a late copy of a
+  // report brought back. It is known from now on, and forgotten when lists go on without it.
+  for (const auto& [id, m] : v.machines)
+    if (auto [e, fresh] = known_.try_emplace(id); fresh) {
+      e->second.last_seen = now;
+      e->second.listed = {id, m.record.addr, m.record.type, m.record.zone, "", m.record.spot, 0};
+    }
   for (auto it = known_.begin(); it != known_.end();) {
     const std::string id = it->first;
     const Known& e = it->second;
@@ -476,6 +484,7 @@
     auto m = registrar_.view().machines.find(id);
     if (m == registrar_.view().machines.end() || !changing_.insert(id).second) continue;
     spdlog::info("machine forgotten machine={}", id);
+    gone_.insert(id);
     mine.push_back(id);
     c.guards.push_back({codec::machine_key(id), m->second.stamp});
     c.writes.push_back({codec::machine_key(id), "", false});
--- a/src/actors/fleet.h
+++ b/src/actors/fleet.h
@@ -84,6 +84,7 @@
   bool was_leading_ = false;
   Ms leading_since_ = 0;
   std::set<std::string> in_list_;
+  std::set<std::string> gone_;  // machines that are surely gone; names are never used again
   std::map<std::string, Known> known_;
   std::map<std::string, Rented> rented_;
   std::map<std::string, Assigning> assigning_;
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -162,6 +162,7 @@
     slack_s_ = slack_s_ == 0 ? slack : slack_s_ + (slack - slack_s_) * constants::kSlackWeight;
   }
   j->accepted = now_ - age;
+  j->begun = j->done > 0;
   if (auto aims = limits_.aims.find(spec.jobclass); aims != limits_.aims.end())
     for (const FinishAim& aim : aims->second) {
       const double s = aim.times > 0 ? aim.times * spec.deadline_s.value_or(0) : aim.within_s;
@@ -280,6 +281,7 @@
           j.spec.memory_gb,
           j.team,
           service,
+          false,
           now_ + static_cast<Ms>(j.spec.estimate_s * 1000)};
   m.tasks[{j.spec.id, i}] = b;
   totals_.free[m.spot][fill(m)] -= b.cpus;
@@ -300,6 +302,7 @@
     --j.queued;
   }
   ++j.bound;
+  j.begun = true;
   if (p == TaskPhase::running) ++j.running;
   ++j.zones[m.zone];
 }
@@ -360,11 +363,24 @@
   }
   if (++m.errors >= constants::kSickErrors) {
     m.errors = constants::kSickErrors - 1;  // after the pause a single failure shuns it again
-    m.shun_ms = m.shun_ms ? std::min(m.shun_ms * 2, constants::kShunMaxMs) : constants::kShunMs;
-    m.shun_until = now + m.shun_ms;
+    shun(m, now);
   }
 }
 
+void Part::shun(Machine& m, Ms now) {
+  m.shun_ms = m.shun_ms ? std::min(m.shun_ms * 2, constants::kShunMaxMs) : constants::kShunMs;
+  m.shun_until = now + m.shun_ms;
+}
+
+// A machine whose reports arrive but which our answers do not reach. Guard: each 200 counts as an
+// answer that it may have had, so its lease would never seem over, and it would be given tasks
+// again and again. One lost answer proves nothing: it then gets one task at a time until one shows.
+void Part::unheard(Machine& m, Ms now) {
+  if (++m.unheard >= constants::kDeafAnswers) shun(m, now);
+}
+
+bool Part::deaf(const Machine& m) { return m.unheard >= constants::kDeafAnswers; }
+
 Answer Part::on_report(const Report& r, Ms now) {
   Answer a;
   now_ = now;
@@ -383,7 +399,13 @@
   if (m.reported && r.tenure > m.tenure) {
     drop_all(m);  // a new tenure: the worker has killed all it had
     m.images.clear();
+    // Its lease ended although we answered: it did not hear. Then this tenure starts on trial.
+    if (!m.gone && now - m.last_answer < limits_.lease_ms) unheard(m, now);
+    if (m.gone && deaf(m)) m.unheard = constants::kDeafAnswers - 1;
+    m.raises = 0;
   }
+  // Invariant 5: a deaf machine gets no 200 any more until its lease is surely over (see `tick`).
+  if (deaf(m) && !m.gone) return {Verdict::stale, a.term, {}};
   m.reported = true;
   m.gone = false;
   m.tenure = r.tenure;
@@ -401,15 +423,25 @@
 
   // Invariant 5: only a report sent under our term proves anything. A report from before may
   // be minutes late, and another owner may have started tasks since. The answer raises the term.
-  if (r.term < a.term) return a;
+  if (r.term < a.term) {
+    if (m.raises++ == 0) m.raised_at = now;
+    // It was told our term, twice, and does not show it.
+    if (m.raises > constants::kRaises && now - m.raised_at > constants::kWorkerPatienceMs)
+      return {Verdict::stale, a.term, {}};
+    return a;
+  }
+  m.raises = 0;
   set_proven(m);
 
+  bool heard = false, lost = false;
   std::set<TaskKey> seen;
   for (const auto& t : r.tasks) {
     TaskKey key{t.job, t.index};
     auto jt = jobs_.find(t.job);
     Job* j = jt == jobs_.end() || t.index >= jt->second->spec.tasks ? nullptr : jt->second.get();
     auto bt = m.tasks.find(key);
+    if (bt != m.tasks.end() && bt->second.attempt == t.attempt && !bt->second.seen)
+      heard = bt->second.seen = true;
     if (t.phase == TaskPhase::exited) {
       if (t.cause == Cause::done && j) {
         if (bt != m.tasks.end() && bt->second.attempt == t.attempt) release(m, key, false);
@@ -440,9 +472,10 @@
       b.phase = t.phase;
     } else if (bt == m.tasks.end() && j && j->state[t.index] == State::queued) {
       bind(m, *j, t.index, t.attempt, t.phase);  // found after a takeover
+      m.tasks[key].seen = true;
     } else if (bt == m.tasks.end()) {
       // Not ours to run: its job is over, or the task is done. It holds room until it is gone.
-      Bound b{nullptr, t.attempt, t.phase, true, 0, 0, 0, -1, false, now};
+      Bound b{nullptr, t.attempt, t.phase, true, 0, 0, 0, -1, false, true, now};
       if (!j) count_unknown(m, 1);
       if (j) b.cpus = j->spec.cpus, b.gpus = j->spec.gpus, b.memory_gb = j->spec.memory_gb;
       if (j) b.team = j->team, team_cpus_[b.team] += b.cpus, team_gpus_[b.team] += b.gpus;
@@ -457,8 +490,16 @@
   // Invariant 4: a launch is open until this report; what it lacks was never started or is gone.
   std::vector<TaskKey> lacking;
   for (const auto& [key, b] : m.tasks)
-    if (!seen.count(key)) lacking.push_back(key);
+    if (!seen.count(key)) {
+      lacking.push_back(key);
+      lost |= !b.seen;
+    }
   for (const auto& key : lacking) release(m, key, true);
+  if (heard)
+    m.unheard = 0;
+  else if (lost)
+    unheard(m, now);
+  if (deaf(m)) return {Verdict::stale, a.term, {}};
   if (!m.tasks.empty() || m.idle_since == 0) m.idle_since = now;
   return a;
 }
@@ -478,6 +519,7 @@
     drop_all(*m);
     set_proven(*m);
     m->gone = true;
+    m->raises = 0;
     lost.push_back(id);
   }
   survey(now);
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -139,6 +139,7 @@
     double cpus = 0, gpus = 0, memory_gb = 0;  // kept by an orphan until it is gone
     int team = -1;
     bool service = false;
+    bool seen = false;   // a report has shown it
     Ms ends = 0;         // by its owner's estimate
     double grace_s = 0;  // told with the kill
   };
@@ -167,6 +168,10 @@
     std::set<std::string> images;  // those that a task here has had, or has been sent for
     int errors = 0;
     Ms shun_until = 0, shun_ms = 0;
+    // Signs that answers do not reach it: those in a row that left no trace, and those that told it
+    // a term which its reports do not show.
+    int unheard = 0, raises = 0;
+    Ms raised_at = 0;
   };
   struct Job {
     JobSpec spec;
@@ -182,6 +187,8 @@
     Ms accepted = 0;
     std::vector<Ms> bounds;  // when it should be complete, the tightest aim first
     int stage = 0;           // aims that it can no longer meet
+    bool begun = false;      // a task of it has been on a machine
+    bool starving = false;   // it has waited too long for that: it goes first
     Ms latest_start = 0;
     Ms waiting_since = 0;  // when the first of its queued tasks began to wait
     // Of a service that waits: whether a machine with its image could take it, and how many
@@ -212,6 +219,9 @@
   void set_done(Job& j, std::uint32_t i);
   void drop_all(Machine& m);
   void note_error(Machine& m, Job& j, Ms now);
+  void shun(Machine& m, Ms now);
+  void unheard(Machine& m, Ms now);
+  static bool deaf(const Machine& m);
   bool may_start(const Machine& m, const Job& j, const Proof& proof, Ms now) const;
   static Fill fill(const Machine& m);
   static double reserve(const Machine& m);
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -299,9 +299,12 @@
       if (packs && wanted <= room_on_fuller(m, *j)) break;
       if (j->spec.kind == Kind::array && m.cpus + j->spec.cpus + reserve(m) > m.type->cpus + kEps)
         break;
-      if (within && team_cpus_[j->team] + j->spec.cpus > teams_[j->team].cpus + kEps) break;
+      if (within && !j->starving &&
+          team_cpus_[j->team] + j->spec.cpus > teams_[j->team].cpus + kEps)
+        break;
       m.spare = false;
       start_one(m, *j, out);
+      if (m.unheard > 0) return;  // one task on trial
     }
   }
 }
@@ -333,8 +336,9 @@
   if (it == machines_.end() || !takes_work(*it->second, now) || waiting().empty()) return out;
   Machine& m = *it->second;
   const Proof known = proof();
-  for (bool within : {true, false}) launch(m, within, known, now, out);
-  make_room(m, known, now, out);
+  for (bool within : {true, false})
+    if (out.empty() || m.unheard == 0) launch(m, within, known, now, out);
+  if (m.unheard == 0) make_room(m, known, now, out);
   if (!m.tasks.empty()) m.idle_since = now;
   return out;
 }
--- a/src/core/queue.cc
+++ b/src/core/queue.cc
@@ -13,6 +13,8 @@
   for (Job* j : order_) {
     const Ms run = static_cast<Ms>(j->spec.estimate_s * 1000) + constants::kStartAllowanceMs;
     j->stage = 0;
+    // Guard: whatever its aims, and however many others are more urgent, a job begins in time.
+    j->starving = !j->begun && now - j->accepted >= constants::kStarvingMs;
     j->latest_start = j->accepted + constants::kUnboundedMs;
     if (j->bounds.empty()) continue;
     const std::size_t n = j->bounds.size();
@@ -24,8 +26,9 @@
       j->stage = 0;
   }
   std::stable_sort(order_.begin(), order_.end(), [](const Job* a, const Job* b) {
-    return std::tuple(-static_cast<int>(a->spec.rank), a->stage, a->latest_start, a->stamp) <
-           std::tuple(-static_cast<int>(b->spec.rank), b->stage, b->latest_start, b->stamp);
+    return std::tuple(-static_cast<int>(a->spec.rank), !a->starving, a->stage, a->latest_start,
+                      a->stamp) < std::tuple(-static_cast<int>(b->spec.rank), !b->starving,
+                                             b->stage, b->latest_start, b->stamp);
   });
 }
 
--- a/tests/checker_test.cc
+++ b/tests/checker_test.cc
@@ -133,4 +133,41 @@
   expect("went_back");
 }
 
+// Once the troubles are over, a job about which no question is answered for 75 s is forgotten,
+// however well others fare.
+TEST_F(CheckerTest, ForgottenWhenNothingIsAnswered) {
+  accepted(spec("run-1"));
+  accepted(spec("run-2"));
+  for (int t = 0; t <= 100; t += 5) {
+    c.asked(t, "run-1", false);
+    c.asked(t, "run-2", true);
+  }
+  c.look(100);
+  EXPECT_TRUE(c.broken().empty());  // troubles still last
+  c.troubles_over(100);
+  c.asked(170, "run-1", false);
+  c.look(174);
+  EXPECT_TRUE(c.broken().empty());
+  c.look(176);
+  expect("forgotten");
+}
+
+TEST_F(CheckerTest, StarvedWhenItBeginsTooLate) {
+  accepted(spec("run-1"));
+  c.task_on(241, kHere, "run-1", 0);
+  c.day_over(300);
+  expect("starved");
+}
+
+// Two of three small jobs are served, the largest not at all.
+TEST_F(CheckerTest, UnservedLargestJobs) {
+  for (const char* id : {"run-1", "run-2", "run-3"}) {
+    accepted(spec(id));
+    c.task_on(1, kHere, id, 0);
+  }
+  accepted(spec("run-4", 50));
+  c.day_over(100);
+  expect("unserved");
+}
+
 }  // namespace
--- a/tests/part_test.cc
+++ b/tests/part_test.cc
@@ -346,4 +346,100 @@
   EXPECT_EQ(part.place("m-1", 250).size(), 1u);
 }
 
+// One lost answer proves nothing: the machine gets one task, and all it can take once that shows.
+TEST_F(PartTest, ALostAnswerPutsAMachineOnTrial) {
+  part.add_machine("m-1", 12, true, 0);
+  part.open_job(job("run-1", 8), 11, false, {});
+  part.on_report(report("m-1"), 100);
+  ASSERT_EQ(part.place("m-1", 100).size(), 8u);
+  part.answered("m-1", 100);
+  part.on_report(report("m-1"), 1100);
+  auto trial = part.place("m-1", 1100);
+  ASSERT_EQ(trial.size(), 1u);
+  part.answered("m-1", 1100);
+  EXPECT_EQ(part.on_report(report("m-1", running_of(trial)), 1600).verdict, Verdict::ok);
+  EXPECT_EQ(part.place("m-1", 1600).size(), 7u);
+}
+
+// A machine that is heard but does not hear: no 200 any more, so its lease ends by our clock too,
+// and its tasks start elsewhere with that proof. Later it is tried with one task.
+TEST_F(PartTest, ADeafMachineGetsNoAnswerUntilItsLeaseIsOver) {
+  part.add_machine("m-1", 12, true, 0);
+  part.add_machine("m-2", 12, true, 0);
+  part.open_job(job("run-1", 1), 11, false, {});
+  Ms t = 0;
+  for (int i = 0; i < 3; ++i) {
+    t += 1000;
+    ASSERT_EQ(part.on_report(report("m-1"), t).verdict, Verdict::ok) << i;
+    ASSERT_EQ(part.place("m-1", t).size(), 1u) << i;
+    part.answered("m-1", t);
+  }
+  EXPECT_EQ(part.on_report(report("m-1"), 4000).verdict, Verdict::stale);
+  EXPECT_EQ(part.on_report(report("m-1"), 9000).verdict, Verdict::stale);
+  part.on_report(report("m-2"), 9000);
+  part.answered("m-2", 9000);
+  // Its last launch is lost: run-1 waits again, and m-2 may have it.
+  EXPECT_EQ(part.place("m-2", 9000).size(), 1u);
+  EXPECT_EQ(part.tick(t + 10300), std::vector<std::string>{"m-1"});
+  // A new tenure: shunned for a while, then one task.
+  part.open_job(job("run-2", 4), 12, false, {});
+  EXPECT_EQ(part.on_report(report("m-1", {}, 0, 2), 14000).verdict, Verdict::ok);
+  EXPECT_TRUE(part.place("m-1", 14000).empty());
+  const Ms later = 4000 + constants::kShunMs;
+  EXPECT_EQ(part.on_report(report("m-1", {}, 0, 2), later).verdict, Verdict::ok);
+  EXPECT_EQ(part.place("m-1", later).size(), 1u);
+}
+
+// After a takeover a deaf machine never shows our term. It is told so twice; then its lease runs.
+TEST_F(PartTest, ATermThatDoesNotFollowIsNotToldForEver) {
+  part.add_machine("m-1", 5, false, 0);
+  part.add_machine("m-2", 5, false, 0);
+  part.open_job(job("run-1", 1), 7, true, {});
+  for (Ms t : {1000, 6000}) {
+    EXPECT_EQ(part.on_report(report("m-1", {}, kTerm - 1), t).verdict, Verdict::ok);
+    part.answered("m-1", t);
+  }
+  EXPECT_EQ(part.on_report(report("m-1", {}, kTerm - 1), 11000).verdict, Verdict::stale);
+  part.on_report(report("m-2"), 11000);
+  part.answered("m-2", 11000);
+  EXPECT_TRUE(part.place("m-2", 11000).empty());
+  EXPECT_EQ(part.tick(6000 + 10300), std::vector<std::string>{"m-1"});
+  part.on_report(report("m-2"), 16500);
+  EXPECT_EQ(part.place("m-2", 16500).size(), 1u);
+}
+
+// A late copy of an older report is no proof, renews nothing and frees no room.
+TEST_F(PartTest, LateCopiesProveNothing) {
+  part.add_machine("m-1", 12, true, 0);
+  part.open_job(job("run-1", 8), 11, false, {});
+  const Report empty = report("m-1");
+  part.on_report(empty, 100);
+  auto s = part.place("m-1", 100);
+  ASSERT_EQ(s.size(), 8u);
+  part.answered("m-1", 100);
+  part.on_report(report("m-1", running_of(s)), 600);
+  part.answered("m-1", 600);
+  for (Ms t : {2000, 9000}) EXPECT_EQ(part.on_report(empty, t).verdict, Verdict::stale);
+  EXPECT_EQ(part.status("run-1")->running, 8u);
+  EXPECT_EQ(part.tick(10900).size(), 1u);  // its lease counts from the last true report
+  EXPECT_EQ(part.on_report(empty, 30000).verdict, Verdict::stale);
+}
+
+// A job that nothing has been started of for long goes before all that is more urgent.
+TEST_F(PartTest, AJobThatWaitedTooLongGoesFirst) {
+  part.add_machine("m-1", 12, true, 0);
+  JobSpec large = job("run-1", 40);
+  large.estimate_s = 1000;
+  large.deadline_s = 5000;
+  part.open_job(large, 11, false, {}, constants::kStarvingMs + 1000);
+  JobSpec tight = job("run-2", 40);
+  tight.estimate_s = 5;
+  tight.deadline_s = 10;
+  part.open_job(tight, 12, false, {});
+  part.on_report(report("m-1"), 100);
+  auto s = part.place("m-1", 100);
+  ASSERT_FALSE(s.empty());
+  EXPECT_EQ(s[0].job, "run-1");
+}
+
 }  // namespace
--- a/tests/standin/checker.h
+++ b/tests/standin/checker.h
@@ -21,6 +21,12 @@
   void cancel_asked(const std::string& id) { jobs_[id].cancel_asked = true; }
   // `phase` empty: 404.
   void told(double t, const std::string& id, const std::string& phase);
+  // A question about a job, and whether it was answered at all.
+  void asked(double t, const std::string& id, bool answered);
+  // From now on every job must be answered for.
+  void troubles_over(double t) { over_at_ = t; }
+  // The end of the day: of each class, each team and each class's largest jobs half is served.
+  void day_over(double t);
 
   // --- what machines do ---
   struct Place {
@@ -39,7 +45,8 @@
     JobSpec spec;
     bool accepted = false, cancel_asked = false;
     std::string final_phase;
-    double cancelled_at = -1;
+    double cancelled_at = -1, accepted_at = -1, begun_at = -1;
+    double unanswered_since = -1;  // the first question without an answer after the last answer
     std::set<std::uint32_t> done;
     std::map<std::uint32_t, std::map<std::string, Place>> on;  // task -> machines
   };
@@ -51,6 +58,7 @@
   std::map<std::string, double> team_cpus_;
   std::vector<std::string> broken_;
   std::size_t starts_ = 0;
+  double over_at_ = -1;
 
  public:
   // To be called now and then: what stays too long shows only with time.
--- a/tests/standin/world.cc
+++ b/tests/standin/world.cc
@@ -197,6 +197,7 @@
 
 void World::deliver(const std::string& from, const std::string& to, std::function<void()> f,
                     std::function<void()> reset) {
+  if (deaf_.count(to) > 0) return;
   const CutMode* cut = cut_between(from, to);
   if (!cut) return schedule(now_ + latency(), std::move(f));
   if (*cut == CutMode::hold) return held_.push_back({from, to, std::move(f)});
@@ -240,9 +241,13 @@
           if (p.name == to) {
             if (!p.up) return back({});
             sink()->node = p.name;
-            p.node->request(r.method, r.path, r.body, [back](int status, std::string body) {
-              back({status, body});
-            });
+            p.node->request(r.method, r.path, r.body,
+                            [this, from, back](int status, std::string body) {
+                              for (auto at = body.find("\"launch\""); at != std::string::npos;
+                                   at = body.find("\"launch\"", at + 1))
+                                ++launches_[from];
+                              back({status, body});
+                            });
             return;
           }
         for (auto& [id, w] : workers_)
@@ -390,7 +395,21 @@
 void World::serve_state(const std::string& from, const HttpRequest& r, Done done) {
   const bool down = state_down_ || refused_.count(from) > 0;
   if (down) return done({503, error("outage")});
-  if (r.path == "/commit") return done(state_commit(r.body));
+  if (r.path == "/commit") {
+    Document d;
+    d.Parse(r.body.c_str());
+    const double rate = o_.state_write_rps, n = d["writes"].GetArray().Size();
+    write_tokens_ =
+        std::min(rate, write_tokens_ + static_cast<double>(now_ - refilled_) / 1000 * rate);
+    refilled_ = now_;
+    if (o_.limits && write_tokens_ < n) {
+      ++over_limit_;
+      return done({429, "{}"});
+    }
+    write_tokens_ -= n;
+    ++commits_;
+    return done(state_commit(r.body));
+  }
   if (r.path == "/grants") {
     Document d;
     d.Parse(r.body.c_str());
@@ -548,6 +567,19 @@
   workers_.at(id)->frozen = on;
 }
 
+void World::deafen(const std::string& id, bool on) {
+  note(id + (on ? " does not hear" : " hears again"));
+  if (on)
+    deaf_.insert(workers_.at(id)->addr);
+  else
+    deaf_.erase(workers_.at(id)->addr);
+}
+
+std::size_t World::launches_to(const std::string& machine) const {
+  auto it = launches_.find(workers_.at(machine)->addr);
+  return it == launches_.end() ? 0 : it->second;
+}
+
 void World::set_sick(const std::string& id, bool on) { workers_.at(id)->sick = on; }
 
 void World::end_task(Worker& w, const TaskKey& key, Task& t, const std::string& cause) {
@@ -644,7 +676,14 @@
   const int node = w.node;
   const Ms sent = now_;
   const std::string id = w.id;
-  call(w.addr, {"n" + std::to_string(node), "POST", "/v1/report", report_body(w), 4000},
+  const std::string body = report_body(w);
+  if (copies_)
+    for (const double late_s : {2.0, o_.lease_s * 2.5})
+      schedule(now_ + static_cast<Ms>(late_s * 1000), [this, body] {
+        call("copy", {"n" + std::to_string(pick_node()), "POST", "/v1/report", body, 4000},
+             [](HttpReply) {});
+      });
+  call(w.addr, {"n" + std::to_string(node), "POST", "/v1/report", body, 4000},
        [this, id, sent, tenure, node, flight](HttpReply r) {
          Worker& worker = *workers_.at(id);
          if (worker.gone || worker.stopped || worker.flight != flight) return;
@@ -793,10 +832,11 @@
 
 void World::try_submit(const JobSpec& spec, double until) {
   raw(pick_node(), "POST", "/v1/jobs", codec::encode(spec, "user"),
-      [this, spec, until](int status, const std::string&) {
+      [this, spec, until, began = now()](int status, const std::string&) {
         checker_.submit_answer(now(), spec.id, status);
         if (status == 200 || status == 201) {
           note("user " + spec.id + " accepted");
+          slowest_acceptance_ = std::max(slowest_acceptance_, now() - began);
           told_[spec.id] = "queued";
           return poll_loop(spec.id);
         }
@@ -813,6 +853,7 @@
       d.Parse(body.c_str());
       phase = d["phase"].GetString();
     }
+    checker_.asked(now(), id, status == 200 || status == 404);
     if (status == 200 || status == 404) checker_.told(now(), id, phase);
     if (status == 200 && told_[id] != phase) {
       note("user " + id + " " + phase);
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -27,6 +27,7 @@
   int machines = 6;  // of 8 CPUs, up from the start
   int capacity = 4;  // further ones for rent, of each kind in each zone
   double boot_s = 6;
+  bool limits = false;               // whether the state service refuses above its rates
   std::size_t changes_kept = 10000;  // by the state service, for followers
 };
 
@@ -63,6 +64,10 @@
   void take_machine(const std::string& id, double notice_s);
   void freeze_machine(const std::string& id, bool on);
   void set_sick(const std::string& id, bool on);
+  // What is sent to it is lost; its own reports arrive.
+  void deafen(const std::string& id, bool on);
+  // Every report arrives again, after a few seconds and after well over a lease, anywhere.
+  void copy_reports(bool on) { copies_ = on; }
   void set_failing(const std::string& job) { failing_jobs_.insert(job); }
   void no_capacity(bool on) { no_capacity_ = on; }
   void stuck_boots(bool on) { stuck_boots_ = on; }
@@ -75,6 +80,11 @@
   std::size_t tasks_on(const std::string& job) const;
   std::vector<std::string> machines_of(const std::string& job) const;
   std::size_t machines_up() const;
+  std::size_t commits() const { return commits_; }
+  std::size_t refused_over_limit() const { return over_limit_; }
+  std::size_t launches_to(const std::string& machine) const;
+  // Longest wait of a user for an acceptance, seconds.
+  double slowest_acceptance() const { return slowest_acceptance_; }
   const std::set<std::string>& charters() const { return charters_; }
   void note(const std::string& line);
   static std::string all() { return "*"; }
@@ -184,6 +194,12 @@
   std::uint64_t ledger_ = 0, next_grant_ = 0;
   bool state_down_ = false;
   std::set<std::string> refused_;
+  std::set<std::string> deaf_;
+  bool copies_ = false;
+  double write_tokens_ = 0, slowest_acceptance_ = 0;
+  Ms refilled_ = 0;
+  std::size_t commits_ = 0, over_limit_ = 0;
+  std::map<std::string, std::size_t> launches_;
   // cloud and workers
   std::map<std::string, std::unique_ptr<Worker>> workers_;
   std::map<std::string, std::vector<std::string>> charter_answers_;
--- a/tests/trace_test.cc
+++ b/tests/trace_test.cc
@@ -298,4 +298,146 @@
   compare(w, "troubles_overlap");
 }
 
+// What everybody must hear once the troubles are over, from every node, in seconds.
+void expect_all_answered(World& w, const std::vector<std::string>& ids) {
+  std::size_t answered = 0;
+  for (const auto& id : ids)
+    for (int n = 0; n < 3; ++n)
+      w.poll_once(n, id, [&](int status, const std::string&) { answered += status == 200; });
+  w.run_until(w.now() + 2);
+  EXPECT_EQ(answered, ids.size() * 3);
+}
+
+const std::vector<std::string> kUsual = {"run-101", "run-102", "run-103",
+                                         "run-104", "run-105", "run-106"};
+
+// A machine's reports arrive, but nothing reaches it; meanwhile its owner crashes. Its tasks go on
+// elsewhere, and it is not fed tasks that it cannot hear of.
+TEST_F(Trace, AMachineIsHeardButDoesNotHear) {
+  World w({});
+  usual_load(w, 5);
+  std::string deaf;
+  w.at(9, [&] {
+    deaf = w.machines_of("run-101").at(0);
+    w.deafen(deaf, true);
+  });
+  w.at(20, [&] { w.crash(1); });
+  for (int i = 1; i <= 6; ++i)
+    w.at(20 + 4 * i, [&w, i] { w.submit(w.job("run-" + std::to_string(i), "red", 6, 1, 3)); });
+  w.at(80, [&] { w.deafen(deaf, false); });
+  w.run_until(140);
+  w.checker().troubles_over(80);
+  expect_usual_load_ends(w);
+  for (int i = 1; i <= 6; ++i) EXPECT_EQ(w.phase("run-" + std::to_string(i)), "done");
+  EXPECT_LT(w.launches_to(deaf), 16u);
+  expect_all_answered(w, kUsual);
+  compare(w, "a_deaf_machine");
+}
+
+// Every report arrives again, 2 s and 25 s later, before and after a takeover, a move and a return.
+TEST_F(Trace, CopiesOfReportsComeLate) {
+  World w({});
+  w.copy_reports(true);
+  usual_load(w, 5);
+  w.at(7, [&] { w.submit(w.job("run-1", "red", 100, 1, 8)); });
+  w.at(15, [&] { w.crash(0); });
+  w.at(40, [&] { w.kill_machine("m-000004"); });
+  w.at(90, [&] { w.crash(2, 0.3); });
+  w.run_until(260);
+  w.checker().troubles_over(100);
+  expect_usual_load_ends(w);
+  EXPECT_EQ(w.phase("run-1"), "done");
+  // No phantom: what the service counts as machines are those that are there.
+  EXPECT_LE(w.node(0)->registrar().view().machines.size(), w.machines_up());
+  expect_all_answered(w, kUsual);
+  compare(w, "late_copies");
+}
+
+// A controller reaches its workers alone: it stops in time, they find the new owner before their
+// lease ends, and it comes back.
+TEST_P(CutTrace, AnOwnerHasOnlyItsWorkers) {
+  World w({});
+  usual_load(w, 5);
+  w.at(9, [&] { w.cut({"n1"}, {"state", "cloud", "n0", "n2", "user"}, GetParam()); });
+  w.at(50, [&] { w.heal(); });
+  w.run_until(90);
+  w.checker().troubles_over(50);
+  expect_usual_load_ends(w);
+  for (const auto& line : w.trace()) EXPECT_EQ(line.find("lease over"), std::string::npos) << line;
+  expect_all_answered(w, kUsual);
+  compare(w, "only_workers_" + mode());
+}
+
+// Processes back within a fraction of a second: while a part is claimed, while pledges are out,
+// while a part is handed back; late copies of reports follow.
+TEST_F(Trace, ProcessesAreBackInMidElection) {
+  World w({});
+  w.copy_reports(true);
+  usual_load(w, 5);
+  w.at(9, [&] { w.crash(1, 8); });
+  for (double t : {14.0, 14.3, 14.6}) w.at(t, [&w] { w.crash(0, 0.2); });
+  w.at(14.45, [&] { w.crash(2, 0.3); });
+  w.at(30, [&] { w.state_outage(true); });
+  w.at(33, [&] { w.crash(2, 0.2); });
+  w.at(36, [&] { w.crash(0, 0.1); });
+  w.at(40, [&] { w.state_outage(false); });
+  for (double t : {44.0, 44.4, 44.9, 45.5}) w.at(t, [&w] { w.crash(1, 0.15); });
+  w.run_until(140);
+  w.checker().troubles_over(50);
+  expect_usual_load_ends(w);
+  expect_all_answered(w, kUsual);
+  compare(w, "back_in_mid_election");
+}
+
+// More is asked than there is, for minutes: a large array with a far deadline and a small team's
+// job begin in time all the same.
+TEST_F(Trace, OverloadStarvesNoOne) {
+  Options o;
+  o.machines = 2;
+  o.capacity = 0;
+  o.nodes = 1;
+  World w(o);
+  w.at(5, [&] {
+    JobSpec large = w.job("run-900", "red", 60, 1, 20);
+    large.jobclass = "large";
+    large.deadline_s = 4000;
+    w.submit(large);
+    w.submit(w.job("run-901", "gold", 2, 8, 10));
+  });
+  for (int i = 0; i < 100; ++i)
+    w.at(4 + 3 * i, [&w, i] {
+      JobSpec s = w.job("run-" + std::to_string(i + 1), i % 2 ? "red" : "blue", 8, 1, 8);
+      s.deadline_s = 20;
+      w.submit(s);
+    });
+  w.run_until(320);
+  w.checker().day_over(320);
+  compare(w, "overload");
+}
+
+// At size: machines that come up together cost few transactions, and users are not kept waiting by
+// the progress of arrays, within a state service that refuses what is over its rate.
+TEST(Budget, UsersGoBeforeProgress) {
+  Options o;
+  o.machines = 90;
+  o.limits = true;
+  o.state_write_rps = 20;
+  o.state_rps = 60;
+  o.teams = {{"red", 160, 240, 0, 0}, {"blue", 160, 240, 0, 0}, {"gold", 160, 240, 0, 0}};
+  World w(o);
+  w.run_until(25);
+  EXPECT_LT(w.commits(), 60u);  // for 90 machines, 3 parts and 3 nodes
+  int n = 0;
+  for (int t = 25; t < 85; ++t)
+    for (const char* team : {"red", "blue", "gold"}) {
+      const std::string id = "run-" + std::to_string(++n);
+      if (n % 4 == 0) w.at(t, [&w, id, team] { w.submit(w.job(id, team, 40, 1, 10)); });
+    }
+  w.run_until(140);
+  for (const auto& b : w.checker().broken()) ADD_FAILURE() << "rule broken: " << b;
+  EXPECT_LT(w.slowest_acceptance(), 0.3);
+  EXPECT_LT(w.refused_over_limit(), 30u);
+  for (int i = 4; i <= n; i += 4) EXPECT_EQ(w.phase("run-" + std::to_string(i)), "done") << i;
+}
+
 }  // namespace
