--- a/src/actors/desk.cc
+++ b/src/actors/desk.cc
@@ -62,8 +62,11 @@
   c.writes = {{codec::job_key(j.id), codec::encode(j, c.nonce), false}};
   if (c.writes[0].value.size() > static_cast<std::size_t>(s_.state_value_kb * 1024))
     return reply(400, codec::error_body("the job is too large to be kept"));
-  spdlog::debug("job submitted job={} team={} class={} tasks={} image={} image_gb={}", j.id, j.team,
-                j.jobclass, j.tasks, j.image, j.image_gb);
+  spdlog::debug(
+      "job submitted job={} team={} class={} tasks={} image={} image_gb={} estimate_s={} "
+      "deadline_s={}",
+      j.id, j.team, j.jobclass, j.tasks, j.image, j.image_gb, j.estimate_s,
+      j.deadline_s.value_or(0));
   c.done = [this, id = j.id, reply](Outcome o, std::uint64_t stamp) {
     if (o == Outcome::ok) {
       spdlog::info("job accepted job={} stamp={}", id, stamp);
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -226,6 +226,7 @@
   static Fill fill(const Machine& m);
   static double reserve(const Machine& m);
   bool takes_work(const Machine& m, Ms now) const;
+  double free_for(const Job& j) const;
   double room_on_fuller(const Machine& m, const Job& j) const;
   void survey(Ms now);
   void spare(double surplus, Ms now);
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -309,6 +309,13 @@
   }
 }
 
+double Part::free_for(const Job& j) const {
+  double room = 0;
+  for (int f = 0; f < kFills; ++f)
+    room += totals_.free[0][f] + (j.spec.spot ? totals_.free[1][f] : 0);
+  return room;
+}
+
 // What still waits, after a moment in which another machine may have had room: it may stop work of
 // lower rank here, and, within its guarantee, what other teams have borrowed.
 void Part::make_room(Machine& m, const Proof& proof, Ms now, std::vector<Order>& out) {
@@ -318,7 +325,10 @@
     auto within = [&] { return team_cpus_[j->team] + j->spec.cpus <= teams_[j->team].cpus + kEps; };
     const Ms waited = now - j->waiting_since;
     const bool by_rank = j->spec.rank > Rank::standard && waited >= constants::kPreemptAfterMs;
-    const bool by_guarantee = waited >= reclaim_after && within();
+    // Guard: what fits into room that is free on machines which have not reported yet needs no
+    // victims. On jelajah-grown some jobs had each of their tasks stopped for nothing.
+    const bool by_guarantee =
+        waited >= reclaim_after && within() && j->queued * j->spec.cpus > free_for(*j);
     if ((!by_rank && !by_guarantee) || !may_start(m, *j, proof, now) ||
         better_elsewhere(m, *j, now))
       continue;
--- a/tests/part_test.cc
+++ b/tests/part_test.cc
@@ -442,4 +442,22 @@
   EXPECT_EQ(s[0].job, "run-1");
 }
 
+// What fits into room that is free elsewhere, on a machine that has not reported since, is no
+// reason to stop a borrower.
+TEST_F(PartTest, NoBorrowerIsStoppedWhileThereIsRoomElsewhere) {
+  part.add_machine("m-1", 12, true, 0);
+  part.add_machine("m-2", 12, true, 0);
+  part.open_job(job("run-1", 8, "red"), 11, false, {});
+  part.on_report(report("m-1"), 100);
+  auto s = part.place("m-1", 100);
+  ASSERT_EQ(s.size(), 8u);
+  part.on_report(report("m-2"), 200);
+  part.tick(250);
+  part.open_job(job("run-2", 4, "blue"), 12, false, {});
+  part.on_report(report("m-1", running_of(s)), 300);
+  part.on_report(report("m-1", running_of(s)), 4400);
+  EXPECT_TRUE(part.place("m-1", 4400).empty());
+  EXPECT_EQ(part.place("m-2", 4450).size(), 4u);
+}
+
 }  // namespace
