--- a/src/constants.h
+++ b/src/constants.h
@@ -48,6 +48,7 @@
 constexpr int kJobBadMachines = 3;      // a job that failed on so many machines is itself suspect
 constexpr Ms kImageWaitMs = 900;        // ms; a service waits so long for a machine with its image
 constexpr double kServicesAlike = 0.7;  // of the most services on a machine; so many are alike
+constexpr int kServiceMachines = 4;     // one of so many reports within the wait, nearly always
 constexpr Ms kServicePackMs = 500;      // ms; a service waits so long to join other services
 constexpr double kReserveShare = 1.0 / 16;  // of a machine with services, at most, is kept for them
 constexpr double kReserveReplicas = 2;      // so many are likely to come before a report
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -196,6 +196,7 @@
     Ms looked_at = -1;
     bool image_elsewhere = false;
     double most_services = 0;  // CPUs
+    int service_machines = 0;
   };
   // How full a machine is, in steps: the higher, the sooner it is filled further.
   enum Fill { kIdle, kEmptier, kFuller, kServices, kFills };
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -129,12 +129,14 @@
   j.looked_at = now;
   j.image_elsewhere = false;
   j.most_services = 0;
+  j.service_machines = 0;
   for (const auto& [id, o] : machines_) {
     if (!takes_work(*o, now) || o->service_cpus + j.spec.cpus > o->type->cpus ||
         !o->images.count(j.spec.image) || !allowed(j.spec, *o->type, o->zone, o->spot))
       continue;
     j.image_elsewhere = true;
     j.most_services = std::max(j.most_services, o->service_cpus);
+    if (o->service_cpus > 0) ++j.service_machines;
   }
 }
 
@@ -146,7 +148,10 @@
   const bool image = m.images.count(j.spec.image) > 0;
   if (waited >= (image ? constants::kServicePackMs : constants::kImageWaitMs)) return false;
   look_for_image(j, now);
-  return image ? m.service_cpus < j.most_services * constants::kServicesAlike : j.image_elsewhere;
+  if (!image) return j.image_elsewhere;
+  // Joining pays only where the report of such a machine is likely within the wait.
+  return j.service_machines >= constants::kServiceMachines &&
+         m.service_cpus < j.most_services * constants::kServicesAlike;
 }
 
 // Free room for the job on machines that are to be filled before this one. What fits there waits
@@ -293,7 +298,9 @@
     const Ms waited = now - j->waiting_since;
     const bool packs = j->spec.kind == Kind::array && waited < pack_ms;
     // A spared machine is left alone, but not for longer than all others take to report.
-    if (m.spare && waited < spare_ms) continue;
+    // Services have no such time: they wait for those that run services already, and no longer.
+    if (m.spare && waited < (j->spec.kind == Kind::array ? spare_ms : constants::kServicePackMs))
+      continue;
     while (j->queued > 0 && fits(m, *j, proof.cpus)) {
       const double wanted = j->queued * j->spec.cpus;
       if (packs && wanted <= room_on_fuller(m, *j)) break;
