--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -119,6 +119,7 @@
       keyed.emplace_back(Key{by_kind && m->spot, empty_at(*m), m->cpus, id}, m.get());
   std::sort(keyed.begin(), keyed.end());
   std::vector<Machine*> out;
+  out.reserve(keyed.size());
   for (const auto& [key, m] : keyed) out.push_back(m);
   return out;
 }
