--- a/src/actors/fleet.cc
+++ b/src/actors/fleet.cc
@@ -269,9 +269,12 @@
   // during a boot is not taken off: while work keeps coming, as much is added.) Services wait for
   // nothing. Elsewhere all that waits is rented for.
   const bool thrift = all.slack_s >= k::kThriftBoots * boot;
+  // A small fleet evens out less, so its queue is given less time.
+  const double machines = static_cast<double>(known_.size());
+  const double patience = k::kPatience * machines / (machines + k::kEvenMachines);
   const double asked =
       thrift ? std::min(all.waiting_cpus,
-                        std::max(all.waiting_core_s / (all.slack_s * k::kPatience) - all.total_cpus,
+                        std::max(all.waiting_core_s / (all.slack_s * patience) - all.total_cpus,
                                  all.waiting_service_cpus))
              : all.waiting_cpus;
   const double lack = asked - all.idle_cpus - coming;
