A part that is handed back or claimed in doubt never stays without owner

Now: the deletion is sent until it has landed; a vacant part is claimed again, whatever landed. Traces a_hand_back_is_refused and a_claim_is_lost; both fail without the guards.

--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -73,7 +73,7 @@
   for (const auto& [part, stamp] : a.parts) {
     auto it = v.parts.find(part);
     if (it == v.parts.end() || it->second.owner != node || it->second.stamp != stamp ||
-        claiming_.count(part) || owned_.count(part))
+        claiming_.count(part) || in_doubt_.count(part) || owned_.count(part))
       return false;
   }
   for (const auto& [part, stamp] : a.parts)
@@ -142,9 +142,11 @@
   c.pace = Pace::urgent;
   const std::uint64_t grant = registrar_.grant();
   c.done = [this, part, grant](Outcome o, std::uint64_t stamp) {
-    // In doubt it may still land: the part's key will tell (see part_changed).
-    if (o != Outcome::unknown) claiming_.erase(part);
     if (o == Outcome::ok && grant == registrar_.grant()) activate(part, stamp);
+    // In doubt it may still land: the part's key will tell (see part_changed). Guard: it may also
+    // never land, so the part is claimed again; a part nobody may claim stays without owner.
+    if (o == Outcome::unknown && grant == registrar_.grant()) in_doubt_.insert(part);
+    rt_.after(o == Outcome::refused ? k::kOverLimitMs : 0, [this, part] { claiming_.erase(part); });
   };
   registrar_.commit(std::move(c));
 }
@@ -206,6 +208,7 @@
 }
 
 void Owner::grant_lost() {
+  in_doubt_.clear();  // what is tethered to a grant that is over cannot land any more
   while (!owned_.empty()) drop(owned_.begin()->first, "grant-lost");
 }
 
@@ -214,9 +217,10 @@
   auto it = registrar_.view().parts.find(part);
   if (it != registrar_.view().parts.end()) {
     last_owner_[part] = it->second.owner;
-    // A claim that was in doubt has landed after all.
-    if (!o && it->second.owner == s_.node && claiming_.erase(part) > 0 &&
-        it->second.grant == registrar_.grant())
+    // A claim of ours has landed, perhaps one that was in doubt.
+    auto left = giving_up_.find(part);
+    if (!o && it->second.owner == s_.node && it->second.grant == registrar_.grant() &&
+        (left == giving_up_.end() || left->second != it->second.stamp))
       return activate(part, it->second.stamp);
   }
   if (!o) return;
@@ -240,17 +244,34 @@
     const int p = part;
     drop(p, "handed-back");
     ++counters_.handed_back;
-    Commit c;
-    c.nonce = registrar_.nonce();
-    c.guards = {{codec::part_key(p), stamp}};
-    c.writes = {{codec::part_key(p), "", false}};
-    c.pace = Pace::urgent;
-    c.done = [](Outcome, std::uint64_t) {};
-    registrar_.commit(std::move(c));
+    giving_up_[p] = stamp;
+    give_up(p, stamp);
     return;  // the map has changed; one a tick is enough
   }
 }
 
+// Guard: until the deletion has surely landed the key says that the part is ours, while nobody acts
+// for it. Refused once and not sent again, it stood there for ever: all machines of the part were
+// sent from node to node and back, and no task of it started any more.
+void Owner::give_up(int part, std::uint64_t stamp) {
+  Commit c;
+  c.nonce = registrar_.nonce();
+  c.guards = {{codec::part_key(part), stamp}};
+  c.writes = {{codec::part_key(part), "", false}};
+  c.pace = Pace::urgent;
+  c.done = [this, part, stamp](Outcome o, std::uint64_t) {
+    const auto& parts = registrar_.view().parts;
+    auto it = parts.find(part);
+    if (o == Outcome::ok || o == Outcome::conflict || it == parts.end() ||
+        it->second.stamp != stamp) {
+      giving_up_.erase(part);
+      return;
+    }
+    rt_.after(k::kRetryMs, [this, part, stamp] { give_up(part, stamp); });
+  };
+  registrar_.commit(std::move(c));
+}
+
 // ------------------------------------------------------------------------------ reports
 
 void Owner::report(const Report& r, Reply reply) {
--- a/src/actors/owner.h
+++ b/src/actors/owner.h
@@ -87,6 +87,7 @@
   void activate(int part, std::uint64_t stamp);
   void load_done(int part, std::uint64_t stamp);
   void hand_back();
+  void give_up(int part, std::uint64_t stamp);
   void drop(int part, const char* reason);
   void answer(Owned& o, const std::string& machine, std::vector<Order> orders, Reply reply);
   void pump(Owned& o);
@@ -105,8 +106,10 @@
   std::map<int, Owned> owned_;
   std::map<int, Ms> vacant_since_;
   std::map<int, std::string> last_owner_;
-  std::set<int> claiming_;      // a claim of ours is on its way, or in doubt
-  std::map<int, Ms> promised_;  // parts that we must not claim until then
+  std::set<int> claiming_;                  // a claim of ours is on its way
+  std::set<int> in_doubt_;                  // one may still land, for as long as our grant lasts
+  std::map<int, Ms> promised_;              // parts that we must not claim until then
+  std::map<int, std::uint64_t> giving_up_;  // dropped by us, their keys (stamps) not yet deleted
   // Pledges of peers to us: the sending time of the question, and until when each holds.
   std::map<std::uint64_t, Ms> pledge_asked_;
   std::map<std::string, Ms> pledge_until_;
--- a/src/actors/registrar.cc
+++ b/src/actors/registrar.cc
@@ -158,8 +158,8 @@
                  codec::encode(codec::NodeRecord{rt_.boot_id(), grant_}, c.nonce), true}};
     c.pace = Pace::urgent;
     c.done = [this](Outcome o, std::uint64_t) {
-      writing_node_ = false;
       node_written_ = o == Outcome::ok;
+      rt_.after(node_written_ ? 0 : k::kRetryMs, [this] { writing_node_ = false; });
     };
     commit(std::move(c));
   }
--- a/tests/trace_test.cc
+++ b/tests/trace_test.cc
@@ -126,6 +126,45 @@
   compare(w, "one_node_is_refused");
 }
 
+// A part is handed back just when the state service refuses its holder: the key must go all the
+// same. Once it stayed, and the part was without owner for as long as that process lived.
+TEST_F(Trace, AHandBackIsRefused) {
+  World w({});
+  usual_load(w, 5);
+  w.at(9, [&] { w.crash(1, 8); });
+  w.at(20, [&] {
+    EXPECT_NE(w.owner_of(1), 1);
+    for (int n : {0, 2}) w.state_refuses(n, true);
+  });
+  w.at(22.5, [&] {
+    for (int n : {0, 2}) w.state_refuses(n, false);
+  });
+  w.run_until(60);
+  EXPECT_EQ(w.owner_of(1), 1);
+  expect_usual_load_ends(w);
+  compare(w, "a_hand_back_is_refused");
+}
+
+// The claims of a vacant part are lost and never land: it is claimed again all the same.
+TEST_F(Trace, AClaimIsLostForEver) {
+  World w({});
+  usual_load(w, 5);
+  w.at(9, [&] { w.crash(1, 60); });
+  bool cut = false;
+  for (double t = 10; t < 20; t += 0.05)
+    w.at(t, [&] {
+      if (cut || w.owner_of(1) >= 0) return;
+      cut = true;
+      w.at(w.now() + 0.25, [&] { w.cut({"n0", "n2"}, {"state"}, CutMode::reset); });
+      w.at(w.now() + 2.75, [&] { w.heal(); });
+    });
+  w.run_until(30);
+  EXPECT_NE(w.owner_of(1), -1);
+  w.run_until(60);
+  for (const char* id : {"run-102", "run-104", "run-106"}) EXPECT_EQ(w.phase(id), "done") << id;
+  compare(w, "a_claim_is_lost");
+}
+
 class CutTrace : public Trace, public testing::WithParamInterface<CutMode> {
  public:
   std::string mode() const { return GetParam() == CutMode::hold ? "hold" : "reset"; }
