A controller that hears no worker gives its parts to a peer that does

Excluded: the takeover at 143 s (all machines report to the new owner within a second; what the old one logged as gone is no longer logged). Now nodes say whether they hear workers; one that does not, neither reports nor answers to a question of its own, gives its parts up and gets them back when it hears again. The traces workers_lost_* fail without it. Also: the queue of connections holds as many as the settings allow, requests to the state service as many as can be served while they wait; connections to workers are not kept.

--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -127,7 +127,9 @@
     if (last_owner_[part] != s_.node && now - started_ < k::kPledgeMs + k::kGrantMarginMs) continue;
     const std::string home = s_.home_of(part);
     Ms wait = 0;
-    if (home != s_.node) wait = v.nodes.count(home) ? k::kClaimHomeAliveMs : k::kClaimOtherMs;
+    if (home != s_.node)
+      wait = v.nodes.count(home) && !unheard(home) ? k::kClaimHomeAliveMs : k::kClaimOtherMs;
+    if (!hears()) wait += k::kClaimUnheardMs;
     if (now - since >= wait) claim(part);
   }
 }
@@ -229,27 +231,80 @@
   if (!ours) drop(part, "key-changed");
 }
 
-// A part whose home node is up again goes back to it: the key is deleted under guard, and its
-// home claims it. We stop acting before the commit is sent, since it may land unanswered.
+// Whether a part may be given up now: the state service surely hears of it.
+bool Owner::settled() const {
+  return registrar_.grant_alive() && rt_.now() - registrar_.last_good() < k::kStateSilentMs;
+}
+
+// The key of a part is deleted under guard, and another node claims it. We stop acting before the
+// commit is sent, since it may land unanswered.
+void Owner::hand_over(int part, const char* reason) {
+  const std::uint64_t stamp = owned_.at(part).core->term();
+  drop(part, reason);
+  ++counters_.handed_back;
+  giving_up_[part] = stamp;
+  give_up(part, stamp);
+}
+
+// A part whose home node is up again, and hears workers, goes back to it.
 void Owner::hand_back() {
   const View& v = registrar_.view();
   const Ms now = rt_.now();
   for (auto& [part, o] : owned_) {
     const std::string home = s_.home_of(part);
-    if (home == s_.node || !o.active || !registrar_.grant_alive()) continue;
+    if (home == s_.node || !o.active || !settled()) continue;
     auto node = v.nodes.find(home);
-    if (node == v.nodes.end() || now - node->second.seen < k::kHandBackAfterMs || !peer_alive(home))
+    if (node == v.nodes.end() || now - node->second.seen < k::kHandBackAfterMs ||
+        !peer_alive(home) || unheard(home))
       continue;
-    const std::uint64_t stamp = o.core->term();
-    const int p = part;
-    drop(p, "handed-back");
-    ++counters_.handed_back;
-    giving_up_[p] = stamp;
-    give_up(p, stamp);
+    hand_over(part, "handed-back");
     return;  // the map has changed; one a tick is enough
   }
 }
 
+// How long no worker has been heard of. Counted by ticks, so that a process which stood still does
+// not take its own absence for theirs. A node that has heard none for
+// a moment, perhaps since it owns no machines, asks any of all machines.
+void Owner::listen() {
+  const Ms now = rt_.now();
+  silent_ += std::min(now - std::exchange(listened_at_, now), 2 * k::kTickMs);
+  const auto& machines = registrar_.view().machines;
+  if (machines.empty()) silent_ = 0;
+  if (silent_ < static_cast<Ms>(s_.report_s * 1000 / 2) || now - probed_at_ < k::kProbeEveryMs)
+    return;
+  probed_at_ = now;
+  const auto any = static_cast<std::ptrdiff_t>(rt_.random() * static_cast<double>(machines.size()));
+  rt_.http({std::next(machines.begin(), any)->second.record.addr, "GET", "/inspect", "",
+            k::kCommandTimeoutMs, true},
+           [this](HttpReply r) {
+             if (r.status == 200) silent_ = 0;
+           });
+}
+
+bool Owner::hears() const { return silent_ < static_cast<Ms>(s_.report_s * 1250) + k::kSilenceMs; }
+
+// Whether a peer says that it hears no worker.
+bool Owner::unheard(const std::string& node) const {
+  auto it = peers_.find(node);
+  return it != peers_.end() && !it->second.status.hears && peer_alive(node);
+}
+
+// Guard: a controller that has lost its workers alone keeps its grant, and would keep its parts;
+// their leases would end, all of them together. It gives the parts to a peer that hears workers,
+// in time for them to find it.
+void Owner::leave_unheard() {
+  if (hears() || !settled()) return;
+  const bool heard = std::any_of(s_.peers.begin(), s_.peers.end(), [&](const Peer& p) {
+    return peer_alive(p.name) && !unheard(p.name) && registrar_.view().nodes.count(p.name);
+  });
+  if (!heard) return;
+  for (const auto& [part, o] : owned_)
+    if (o.active) {
+      last_status_ = 0;  // peers should know before they see the key go
+      return hand_over(part, "workers-lost");
+    }
+}
+
 // Guard: until the deletion has surely landed the key says that the part is ours, while nobody acts
 // for it. Refused once and not sent again, it stood there for ever: all machines of the part were
 // sent from node to node and back, and no task of it started any more.
@@ -276,6 +331,7 @@
 
 void Owner::report(const Report& r, Reply reply) {
   ++counters_.reports;
+  silent_ = 0;
   const View& v = registrar_.view();
   if (!v.ready) return reply(503, "");
   auto upstream = [&](int part) {
@@ -356,9 +412,10 @@
       answer(o, kill.machine, std::move(kill.orders), std::move(reply));
       continue;
     }
-    rt_.http({kill.addr, "POST", "/commands",
-              codec::commands_body(kill.term, kill.tenure, kill.orders), k::kCommandTimeoutMs},
-             [](HttpReply) {});  // its next report tells what came of it
+    rt_.http(
+        {kill.addr, "POST", "/commands", codec::commands_body(kill.term, kill.tenure, kill.orders),
+         k::kCommandTimeoutMs, true},
+        [](HttpReply) {});  // its next report tells what came of it
   }
 }
 
@@ -599,18 +656,22 @@
 }
 
 void Owner::tick() {
+  listen();
   claim_vacant();
   hand_back();
+  leave_unheard();
   ask_pledges();
   const Ms now = rt_.now();
   for (auto& [part, o] : owned_) {
     if (!o.active) continue;
+    const bool acts = acting(part);
     for (const auto& id : o.core->tick(now)) {
+      if (!acts) continue;  // they report to somebody else
       ++counters_.leases_over;
       spdlog::info("machine gone machine={} part={} term={} proof=lease", id, part,
                    o.core->term_of(id));
     }
-    if (!acting(part)) {
+    if (!acts) {
       // Not entitled at the moment: those who wait are sent on, nothing is started.
       auto parked = std::move(o.parked);
       o.parked.clear();
@@ -626,6 +687,7 @@
     for (const auto& [part, o] : owned_)
       if (acting(part)) s.parts.emplace_back(part, o.core->need(now));
     s.use = registrar_.use();
+    s.hears = hears();
     hooks_.broadcast(s);
   }
 }
--- a/src/actors/owner.h
+++ b/src/actors/owner.h
@@ -87,6 +87,12 @@
   void activate(int part, std::uint64_t stamp);
   void load_done(int part, std::uint64_t stamp);
   void hand_back();
+  void hand_over(int part, const char* reason);
+  bool settled() const;
+  void listen();
+  bool hears() const;
+  bool unheard(const std::string& node) const;
+  void leave_unheard();
   void give_up(int part, std::uint64_t stamp);
   void drop(int part, const char* reason);
   void answer(Owned& o, const std::string& machine, std::vector<Order> orders, Reply reply);
@@ -118,6 +124,7 @@
   std::map<std::string, PeerNews> peers_;
   std::vector<MachineType> types_;
   Ms last_status_ = 0;
+  Ms silent_ = 0, listened_at_ = 0, probed_at_ = 0;  // see `listen`
   Counters counters_;
 };
 
--- a/src/actors/registrar.cc
+++ b/src/actors/registrar.cc
@@ -79,7 +79,9 @@
 
 void Registrar::submit(Pending p) {
   p.request.addr = s_.state_addr;
-  if (queue_.size() >= k::kPendingMax && p.pace != Pace::urgent) {
+  // More than can be served while it waits would only be refused later.
+  const double most = std::max(k::kPendingLeast, s_.state_rps * k::kStateTimeoutMs / 1000);
+  if (static_cast<double>(queue_.size()) >= most && p.pace != Pace::urgent) {
     ++counters_.refused_here;
     rt_.after(0, [done = std::move(p.done)] { done({429, ""}); });
     return;
--- a/src/actors/runtime.h
+++ b/src/actors/runtime.h
@@ -15,6 +15,7 @@
 struct HttpRequest {
   std::string addr, method, path, body;
   Ms timeout = 0;
+  bool once = false;  // the connection is not kept for a next request
 };
 
 class Runtime {
--- a/src/codec/mesh.capnp
+++ b/src/codec/mesh.capnp
@@ -35,6 +35,7 @@
   parts @0 :List(Need);
   requests @1 :Float64;           # of the state service, a second, that the sender takes
   changes @2 :Float64;
+  hears @3 :Bool = true;          # whether the sender hears of workers
 }
 
 struct Need {
--- a/src/codec/mesh.cc
+++ b/src/codec/mesh.cc
@@ -40,6 +40,7 @@
     auto status = e.initStatus();
     status.setRequests(m.use.requests);
     status.setChanges(m.use.changes);
+    status.setHears(m.hears);
     auto list = status.initParts(static_cast<unsigned>(m.parts.size()));
     for (unsigned i = 0; i < m.parts.size(); ++i) {
       const auto& [part, n] = m.parts[i];
@@ -96,6 +97,7 @@
 Status read_status(wire::Status::Reader r) {
   Status s;
   s.use = {r.getRequests(), r.getChanges()};
+  s.hears = r.getHears();
   for (auto b : r.getParts()) {
     PartNeed n;
     n.waiting_cpus = b.getWaitingCpus();
--- a/src/codec/mesh.h
+++ b/src/codec/mesh.h
@@ -21,7 +21,8 @@
 };
 struct Status {
   std::vector<std::pair<int, PartNeed>> parts;
-  BudgetUse use;  // of the state service by the sender
+  BudgetUse use;      // of the state service by the sender
+  bool hears = true;  // whether it hears of workers
 };
 struct Move {
   int part = 0, to = -1;
--- a/src/constants.h
+++ b/src/constants.h
@@ -21,6 +21,9 @@
 constexpr Ms kGrantMarginMs = 300;      // ms; an owner stops acting this early
 constexpr Ms kClaimHomeAliveMs = 2500;  // ms; a vacant part waits so long for its living home node
 constexpr Ms kClaimOtherMs = 300;       // ms; pause before claiming a part whose home node is gone
+constexpr Ms kSilenceMs = 1000;         // ms; beyond the time in which every machine reports
+constexpr Ms kProbeEveryMs = 500;       // ms; a node that hears nothing asks a worker this often
+constexpr Ms kClaimUnheardMs = 3000;    // ms; more, for a node that hears no worker
 constexpr Ms kHandBackAfterMs = 4000;   // ms; a home node must have been up so long
 constexpr Ms kBalanceEveryMs = 1000;    // ms; pace of the leader's advice on machines
 
@@ -90,7 +93,7 @@
 constexpr int kRetryAfterS = 1;               // s; told to users who are refused
 constexpr int kHeadersMax = 16384;            // bytes
 constexpr int kIdleConnectionS = 60;          // s; users poll every 5 s, so an idle one is dead
-constexpr std::size_t kPendingMax = 256;      // requests to the state service waiting at once
+constexpr double kPendingLeast = 32;          // requests to the state service waiting at once
 
 constexpr int kLatencyBuckets = 12;      // of the histograms in /metrics
 constexpr double kLatencyLowMs = 1;      // ms; steps of a timer
--- a/src/net/loop.cc
+++ b/src/net/loop.cc
@@ -1,9 +1,11 @@
 #include "net/loop.h"
 
+#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 #include <event2/util.h>
 #include <spdlog/spdlog.h>
 #include <time.h>
@@ -113,12 +115,23 @@
   return out.port > 0 && out.port < 65536 && evutil_inet_pton(AF_INET, out.host.c_str(), &a) == 1;
 }
 
+sockaddr_in to_sockaddr(const std::string& text) {
+  Address a;
+  parse_address(text, a);
+  sockaddr_in sin{};
+  sin.sin_family = AF_INET;
+  sin.sin_port = htons(static_cast<std::uint16_t>(a.port));
+  inet_pton(AF_INET, a.host.c_str(), &sin.sin_addr);
+  return sin;
+}
+
 // ------------------------------------------------------------------------------- client
 
 struct HttpClient::Call {
   HttpClient* client;
   evhttp_connection* conn;
   std::function<void(HttpReply)> done;
+  bool once;
 };
 
 HttpClient::~HttpClient() {
@@ -131,7 +144,10 @@
   if (req && evhttp_request_get_response_code(req) != 0) {
     reply.status = evhttp_request_get_response_code(req);
     reply.body = take_body(req);
-    call->client->idle_.push_back(call->conn);
+    if (call->once)
+      evhttp_connection_free_on_completion(call->conn);
+    else
+      call->client->idle_.push_back(call->conn);
   } else {
     evhttp_connection_free_on_completion(call->conn);
   }
@@ -149,10 +165,11 @@
   }
   const timeval tv = to_timeval(r.timeout);
   evhttp_connection_set_timeout_tv(conn, &tv);
-  auto* call = new Call{this, conn, std::move(done)};  // freed by on_done
+  auto* call = new Call{this, conn, std::move(done), r.once};  // freed by on_done
   evhttp_request* req = evhttp_request_new(&HttpClient::on_done, call);
   evkeyvalq* headers = evhttp_request_get_output_headers(req);
   evhttp_add_header(headers, "Host", (addr_.host + ":" + std::to_string(addr_.port)).c_str());
+  if (r.once) evhttp_add_header(headers, "Connection", "close");
   if (!r.body.empty()) {
     evhttp_add_header(headers, "Content-Type", "application/json");
     evbuffer_add(evhttp_request_get_output_buffer(req), r.body.data(), r.body.size());
@@ -184,8 +201,6 @@
 
 bool Loop::listen(OnRequest on_request, OnFrame on_frame, std::string& error) {
   on_request_ = std::move(on_request);
-  Address api;
-  parse_address(s_.api_addr, api);
   server_ = evhttp_new(base_.get());
   evhttp_set_max_body_size(server_, static_cast<ev_ssize_t>(k::kBodyReadMax));
   evhttp_set_max_headers_size(server_, static_cast<ev_ssize_t>(k::kHeadersMax));
@@ -194,7 +209,14 @@
                                           EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH |
                                           EVHTTP_REQ_OPTIONS);
   evhttp_set_gencb(server_, &Loop::on_http, this);
-  if (evhttp_bind_socket(server_, api.host.c_str(), static_cast<std::uint16_t>(api.port)) != 0) {
+  // Guard: after an end of all controllers every worker and user connects to the first that is
+  // back; the queue of connections not yet accepted holds as many as there may be (libevent's own:
+  // 128).
+  sockaddr_in sin = to_sockaddr(s_.api_addr);
+  evconnlistener* listener = evconnlistener_new_bind(
+      base_.get(), nullptr, nullptr, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, s_.max_sockets,
+      reinterpret_cast<sockaddr*>(&sin), sizeof sin);
+  if (!listener || !evhttp_bind_listener(server_, listener)) {
     error = "cannot listen on api_addr " + s_.api_addr;
     return false;
   }
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -1,6 +1,7 @@
 // libevent under the actors: the loop, the HTTP server and clients, and the mesh links.
 #pragma once
 #include <event2/event.h>
+#include <netinet/in.h>
 
 #include <functional>
 #include <map>
@@ -30,6 +31,7 @@
   int port = 0;
 };
 bool parse_address(const std::string& text, Address& out);
+sockaddr_in to_sockaddr(const std::string& text);
 
 // Clients of one address: a few connections, each with one request at a time. A connection that
 // failed or timed out is never used again, so a late answer cannot meet a later request.
--- a/src/net/mesh_link.cc
+++ b/src/net/mesh_link.cc
@@ -16,16 +16,6 @@
 
 namespace {
 
-sockaddr_in to_sockaddr(const std::string& text) {
-  Address a;
-  parse_address(text, a);
-  sockaddr_in sin{};
-  sin.sin_family = AF_INET;
-  sin.sin_port = htons(static_cast<std::uint16_t>(a.port));
-  inet_pton(AF_INET, a.host.c_str(), &sin.sin_addr);
-  return sin;
-}
-
 constexpr std::size_t kHead = 4;  // bytes of a frame's length
 
 }  // namespace
--- a/tests/trace_test.cc
+++ b/tests/trace_test.cc
@@ -407,6 +407,28 @@
   compare(w, "only_workers_" + mode());
 }
 
+// A controller loses its workers alone. They are served by a peer before their leases end, and by
+// it again once it hears them.
+TEST_P(CutTrace, AnOwnerLosesItsWorkers) {
+  World w({});
+  usual_load(w, 5);
+  std::set<std::string> workers;
+  for (int i = 0; i < 20; ++i) {
+    const std::string n = std::to_string(i);
+    workers.insert("w-m-" + std::string(6 - n.size(), '0') + n);
+  }
+  w.at(9, [&] { w.cut({"n1"}, workers, GetParam()); });
+  w.at(30, [&] { EXPECT_NE(w.owner_of(1), 1); });
+  w.at(50, [&] { w.heal(); });
+  w.run_until(90);
+  EXPECT_EQ(w.owner_of(1), 1);
+  w.checker().troubles_over(50);
+  expect_usual_load_ends(w);
+  for (const auto& line : w.trace()) EXPECT_EQ(line.find("lease over"), std::string::npos) << line;
+  expect_all_answered(w, kUsual);
+  compare(w, "workers_lost_" + mode());
+}
+
 // Processes back within a fraction of a second: while a part is claimed, while pledges are out,
 // while a part is handed back; late copies of reports follow.
 TEST_F(Trace, ProcessesAreBackInMidElection) {
