--- a/src/actors/fleet.cc
+++ b/src/actors/fleet.cc
@@ -245,6 +245,7 @@
     all.used_cpus += n.used_cpus;
     all.used_service_cpus += n.used_service_cpus;
     all.slack_s = std::max(all.slack_s, n.slack_s);
+    if (n.wait_s > 0) all.wait_s = all.wait_s > 0 ? std::min(all.wait_s, n.wait_s) : n.wait_s;
     all.idle_cpus += n.idle_cpus + n.idle_spot_cpus;
     spdlog::debug(
         "part need part={} waiting={:.0f} used={:.0f} services={:.0f} total={:.0f} idle={}", p,
@@ -272,9 +273,12 @@
   // A small fleet evens out less, so its queue is given less time.
   const double machines = static_cast<double>(known_.size());
   const double patience = k::kPatience * machines / (machines + k::kEvenMachines);
+  // Where arrays should start within a stated time, machines must be up well before it.
+  const double queue_s =
+      all.wait_s > 0 ? std::min(all.slack_s, all.wait_s * k::kWaitShare) : all.slack_s;
   const double asked =
       thrift ? std::min(all.waiting_cpus,
-                        std::max(all.waiting_core_s / (all.slack_s * patience) - all.total_cpus,
+                        std::max(all.waiting_core_s / (queue_s * patience) - all.total_cpus,
                                  all.waiting_service_cpus))
              : all.waiting_cpus;
   const double lack = asked - all.idle_cpus - coming;
--- a/src/actors/settings.cc
+++ b/src/actors/settings.cc
@@ -159,6 +159,8 @@
       const std::string jobclass = (*o)["class"].value_or(std::string());
       if (kind == "finished")
         s.finish_aims[jobclass].push_back({(*o)["within_s"].value_or(0.0), 0});
+      else if (kind == "wait")
+        s.wait_aims[jobclass] = (*o)["within_s"].value_or(0.0);
       else if (kind == "deadline")
         s.finish_aims[jobclass].push_back({0, (*o)["times"].value_or(1.0)});
     }
--- a/src/codec/mesh.capnp
+++ b/src/codec/mesh.capnp
@@ -54,6 +54,7 @@
   restedSpotCpus @12 :Float64;
   idleMachines @13 :UInt32;
   spotCpus @14 :Float64;
+  waitS @15 :Float64;
 }
 
 struct Move {                     # the leader's advice: give idle machines to another part
--- a/src/codec/mesh.cc
+++ b/src/codec/mesh.cc
@@ -54,6 +54,7 @@
       b.setTotalCpus(n.total_cpus);
       b.setWaitingCoreS(n.waiting_core_s);
       b.setSlackS(n.slack_s);
+      b.setWaitS(n.wait_s);
       b.setIdleCpus(n.idle_cpus);
       b.setIdleSpotCpus(n.idle_spot_cpus);
       b.setRestedCpus(n.rested_cpus);
@@ -108,6 +109,7 @@
     n.total_cpus = b.getTotalCpus();
     n.waiting_core_s = b.getWaitingCoreS();
     n.slack_s = b.getSlackS();
+    n.wait_s = b.getWaitS();
     n.idle_cpus = b.getIdleCpus();
     n.idle_spot_cpus = b.getIdleSpotCpus();
     n.rested_cpus = b.getRestedCpus();
--- a/src/constants.h
+++ b/src/constants.h
@@ -125,6 +125,7 @@
 constexpr Ms kIdleKeepMs = 180000;        // ms; the same where slack is short beside a boot
 constexpr double kThriftBoots = 1.2;      // times the boot time; slack above it allows thrift
 constexpr double kPatience = 1.32;        // share of the slack that a queue may last
+constexpr double kWaitShare = 0.75;       // of a stated wait, taken as slack; the rest is for boots
 constexpr double kEvenMachines = 30.0;    // machines at which that share is half as long
 constexpr double kSlackWeight = 0.1;      // share of a new job in the usual slack
 constexpr Ms kSpareAfterMs = 4000;        // ms; room must be left over so long
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -162,6 +162,9 @@
     const double slack = std::max(0.0, *spec.deadline_s - spec.estimate_s);
     slack_s_ = slack_s_ == 0 ? slack : slack_s_ + (slack - slack_s_) * constants::kSlackWeight;
   }
+  if (auto wait = limits_.waits.find(spec.jobclass);
+      wait != limits_.waits.end() && wait->second > 0 && spec.kind == Kind::array)
+    wait_s_ = wait_s_ == 0 ? wait->second : std::min(wait_s_, wait->second);
   j->accepted = now_ - age;
   j->begun = j->done > 0;
   if (auto aims = limits_.aims.find(spec.jobclass); aims != limits_.aims.end())
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -21,6 +21,7 @@
   Ms lease_ms = 10000;
   Ms report_ms = 1000;
   std::map<std::string, std::vector<FinishAim>> aims;  // by class
+  std::map<std::string, double> waits;                 // seconds to a start, by class
 };
 
 enum class Verdict {
@@ -41,6 +42,7 @@
   double waiting_service_cpus = 0;
   double waiting_core_s = 0;  // work of the waiting tasks by their owners' estimates
   double slack_s = 0;         // usual time between a job's estimate and its deadline; 0: unknown
+  double wait_s = 0;          // the shortest in which an array should start; 0: none stated
   double used_cpus = 0, used_service_cpus = 0;
   double total_cpus = 0, spot_cpus = 0;  // of all machines, of spot ones
   // Of machines that hold nothing, and of those that have held nothing for so long that they may
@@ -278,7 +280,7 @@
   Totals totals_;
   double unit_ = 0;  // see `unit`
   Ms reordered_ = 0;
-  double slack_s_ = 0;
+  double slack_s_ = 0, wait_s_ = 0;  // see `PartNeed`
   Ms surplus_since_ = 0;
   std::uint64_t counter_ = 0, preemptions_ = 0;
   std::map<std::string, std::vector<Order>> kills_;
--- a/src/core/queue.cc
+++ b/src/core/queue.cc
@@ -139,6 +139,7 @@
     if (now - m->idle_since >= keep_ms()) (m->spot ? n.rested_spot_cpus : n.rested_cpus) += cpus;
   }
   n.slack_s = slack_s_;
+  n.wait_s = wait_s_;
   return n;
 }
 
--- a/tests/part_test.cc
+++ b/tests/part_test.cc
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::uint64_t kTerm = 10;
-const PartLimits kLimits{10000, 1000, {{"soon", {{30, 0}}}}};
+const PartLimits kLimits{10000, 1000, {{"soon", {{30, 0}}}}, {{"prompt", 60}}};
 
 struct PartTest : testing::Test {
   Part part{0, kTerm, 0, kLimits, {{"red", 4, 12, 0, 0}, {"blue", 4, 12, 0, 0}}};
@@ -500,6 +500,20 @@
   EXPECT_EQ(freed(40000), "run-2");
 }
 
+// What the leader hears of stated waits: the shortest among the arrays that the part has.
+TEST_F(PartTest, TheShortestStatedWaitIsTold) {
+  EXPECT_EQ(part.need(0).wait_s, 0);
+  JobSpec s = job("run-1");
+  s.jobclass = "prompt";
+  s.kind = Kind::service;
+  part.open_job(s, 11, false, {});
+  EXPECT_EQ(part.need(0).wait_s, 0);
+  s.id = "run-2";
+  s.kind = Kind::array;
+  part.open_job(s, 12, false, {});
+  EXPECT_EQ(part.need(0).wait_s, 60);
+}
+
 // A task waits a moment for a free machine that has its image, and no longer.
 TEST_F(PartTest, ATaskWaitsAMomentForAMachineWithItsImage) {
   MachineType box{"box", 8, 0, 64, 100, 0.1, 1, 1, 10, {"a", "b"}};
