--- a/src/actors/fleet.cc
+++ b/src/actors/fleet.cc
@@ -145,7 +145,10 @@
 
 void Fleet::send_assignments(std::vector<std::string> ids) {
   Commit c;
-  c.pace = Pace::fleet;
+  // At a start of the whole service no job runs before machines have parts: they take turns with
+  // users.
+  const bool bare = assigning_.size() > registrar_.view().machines.size();
+  c.pace = bare ? Pace::user : Pace::fleet;
   c.nonce = registrar_.nonce();
   for (const auto& id : ids) {
     c.guards.push_back({codec::machine_key(id), 0});
--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -264,8 +264,8 @@
 }
 
 // How long no worker has been heard of. Counted by ticks, so that a process which stood still does
-// not take its own absence for theirs. A node that has heard none for
-// a moment, perhaps since it owns no machines, asks any of all machines.
+// not take its own absence for theirs. A node that has heard none for a moment, perhaps since it
+// owns no machines, asks any of all machines.
 void Owner::listen() {
   const Ms now = rt_.now();
   silent_ += std::min(now - std::exchange(listened_at_, now), 2 * k::kTickMs);
