--- a/src/actors/fleet.cc
+++ b/src/actors/fleet.cc
@@ -145,10 +145,7 @@
 
 void Fleet::send_assignments(std::vector<std::string> ids) {
   Commit c;
-  // At a start of the whole service no job runs before machines have parts: they take turns with
-  // users.
-  const bool bare = assigning_.size() > registrar_.view().machines.size();
-  c.pace = bare ? Pace::user : Pace::fleet;
+  c.pace = Pace::fleet;
   c.nonce = registrar_.nonce();
   for (const auto& id : ids) {
     c.guards.push_back({codec::machine_key(id), 0});
