--- a/tests/standin/world.cc
+++ b/tests/standin/world.cc
@@ -86,8 +86,11 @@
   void http(HttpRequest r, std::function<void(HttpReply)> done) override {
     w_.call(name(), std::move(r), [this, alive = alive_, done = std::move(done)](HttpReply reply) {
       if (!*alive) return;
-      sink()->node = name();
-      done(std::move(reply));
+      w_.when_awake(index_, [this, alive, done, reply] {
+        if (!*alive) return;
+        sink()->node = name();
+        done(reply);
+      });
     });
   }
   void send(const std::string& node, const std::string& bytes) override {
@@ -95,20 +98,26 @@
     w_.deliver(
         name(), node,
         [w, node, bytes] {
-          for (auto& p : w->procs_)
-            if (p.name == node && p.up) {
-              sink()->node = node;
-              p.node->frame(bytes);
-            }
+          for (std::size_t i = 0; i < w->procs_.size(); ++i)
+            if (w->procs_[i].name == node)
+              w->when_awake(i, [w, i, bytes] {
+                Proc& p = w->procs_[i];
+                if (!p.up) return;
+                sink()->node = p.name;
+                p.node->frame(bytes);
+              });
         },
         [] {});
   }
   const std::string& name() const { return w_.procs_[index_].name; }
   std::function<void()> guarded(std::function<void()> f) {
-    return [alive = alive_, name = name(), f = std::move(f)] {
+    return [this, alive = alive_, f = std::move(f)] {
       if (!*alive) return;
-      sink()->node = name;
-      f();
+      w_.when_awake(index_, [this, alive, f] {
+        if (!*alive) return;
+        sink()->node = name();
+        f();
+      });
     };
   }
   void die() { *alive_ = false; }
@@ -237,19 +246,20 @@
         };
         if (to == "state") return serve_state(from, r, std::move(back));
         if (to == "cloud") return serve_cloud(r, std::move(back));
-        for (auto& p : procs_)
-          if (p.name == to) {
-            if (!p.up) return back({});
-            sink()->node = p.name;
-            p.node->request(r.method, r.path, r.body,
-                            [this, from, back](int status, std::string body) {
-                              for (auto at = body.find("\"launch\""); at != std::string::npos;
-                                   at = body.find("\"launch\"", at + 1))
-                                ++launches_[from];
-                              back({status, body});
-                            });
-            return;
-          }
+        for (std::size_t i = 0; i < procs_.size(); ++i)
+          if (procs_[i].name == to)
+            return when_awake(i, [this, i, from, r, back] {
+              Proc& p = procs_[i];
+              if (!p.up) return back({});
+              sink()->node = p.name;
+              p.node->request(r.method, r.path, r.body,
+                              [this, from, back](int status, std::string body) {
+                                for (auto at = body.find("\"launch\""); at != std::string::npos;
+                                     at = body.find("\"launch\"", at + 1))
+                                  ++launches_[from];
+                                back({status, body});
+                              });
+            });
         for (auto& [id, w] : workers_)
           if (w->addr == to) return serve_worker(*w, r, std::move(back));
       },
@@ -267,7 +277,7 @@
   sink()->node = p.name;
   note(p.name + " starts");
   p.node->start();
-  auto tick = std::make_shared<std::function<void()>>();
+  auto tick = p.tick = std::make_shared<std::function<void()>>();
   *tick = p.runtime->guarded([this, i, weak = std::weak_ptr(tick)] {
     procs_[i].node->tick();
     if (auto self = weak.lock()) schedule(now_ + constants::kTickMs, [self] { (*self)(); });
@@ -275,6 +285,17 @@
   schedule(now_ + constants::kTickMs, [tick] { (*tick)(); });
 }
 
+void World::when_awake(std::size_t i, std::function<void()> f) {
+  if (now_ >= procs_[i].frozen_until) return f();
+  schedule(procs_[i].frozen_until, std::move(f));
+}
+
+void World::freeze(int node, double for_s) {
+  Proc& p = procs_[static_cast<std::size_t>(node)];
+  note(p.name + " stands still");
+  p.frozen_until = now_ + static_cast<Ms>(for_s * 1000);
+}
+
 void World::crash(int node, double back_after_s) {
   const auto i = static_cast<std::size_t>(node);
   Proc& p = procs_[i];
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -55,6 +55,8 @@
 
   // --- troubles ---
   void crash(int node, double back_after_s = 4);
+  // The process stands still while its clocks run on; then all that came meanwhile is taken in.
+  void freeze(int node, double for_s);
   void cut(std::set<std::string> a, std::set<std::string> b, CutMode mode);
   void heal();
   void state_outage(bool on);             // 503 for all
@@ -98,6 +100,8 @@
     std::unique_ptr<Node> node;
     std::uint64_t life = 0;
     bool up = false;
+    Ms frozen_until = 0;
+    std::shared_ptr<std::function<void()>> tick;
   };
   struct Row {
     std::string value;
@@ -152,6 +156,7 @@
   HttpReply follow_now(const std::string& prefix, std::uint64_t since) const;
   void end_grants();
   void start_node(std::size_t i);
+  void when_awake(std::size_t i, std::function<void()> f);
   void tick_workers();
   void send_report(Worker& w);
   void take_answer(Worker& w, Ms sent, std::uint64_t tenure, const HttpReply& r, int node);
--- a/tests/trace_test.cc
+++ b/tests/trace_test.cc
@@ -3,6 +3,7 @@
 // of behaviour: EIDERREEL_WRITE_TRACES=1 target/tests/eiderreel_tests, then read the difference.
 #include <gtest/gtest.h>
 
+#include <array>
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
@@ -429,6 +430,22 @@
   compare(w, "workers_lost_" + mode());
 }
 
+// A controller stands still for longer than its grant, then wakes with all that came meanwhile in
+// its buffers. It must not act for its part, which has another owner by then.
+TEST_F(Trace, AControllerStandsStill) {
+  World w({});
+  usual_load(w, 5);
+  w.at(9, [&] { w.freeze(1, 17); });
+  w.at(14, [&] { w.cancel("run-103"); });
+  w.at(25, [&] { EXPECT_NE(w.owner_of(1), 1); });
+  w.run_until(90);
+  EXPECT_EQ(w.owner_of(1), 1);
+  EXPECT_EQ(w.phase("run-103"), "cancelled");
+  EXPECT_EQ(w.phase("run-104"), "done");
+  for (const auto& line : w.trace()) EXPECT_EQ(line.find("lease over"), std::string::npos) << line;
+  compare(w, "a_controller_stands_still");
+}
+
 // Processes back within a fraction of a second: while a part is claimed, while pledges are out,
 // while a part is handed back; late copies of reports follow.
 TEST_F(Trace, ProcessesAreBackInMidElection) {
@@ -476,6 +493,40 @@
   compare(w, "overload");
 }
 
+// At size: all controllers end at once, and a single one is back for a while; then a rack falls
+// with all that is on it, and new machines come up together. No lease ends but those of the rack,
+// and nobody is forgotten.
+TEST(AtSize, OneControllerServesAllAndARackFalls) {
+  Options o;
+  o.machines = 120;
+  o.capacity = 40;
+  o.limits = true;
+  o.state_rps = 180;
+  o.state_write_rps = 60;
+  o.teams = {{"red", 320, 640, 0, 0}, {"blue", 320, 640, 0, 0}, {"gold", 320, 640, 0, 0}};
+  World w(o);
+  std::vector<std::string> ids;
+  for (int i = 0; i < 90; ++i) {
+    ids.push_back("run-" + std::to_string(i));
+    const char* team = std::array{"red", "blue", "gold"}[static_cast<std::size_t>(i % 3)];
+    w.at(15 + i * 0.5, [&w, id = ids.back(), team] { w.submit(w.job(id, team, 20, 1, 10)); });
+  }
+  w.at(25, [&] {
+    w.crash(0, 20);
+    w.crash(1, 20);
+    w.crash(2, 0.3);
+  });
+  w.run_until(50);
+  for (const auto& line : w.trace()) EXPECT_EQ(line.find("lease over"), std::string::npos) << line;
+  for (int i = 0; i < 40; ++i)
+    w.kill_machine("m-" + std::string(i < 10 ? "00000" : "0000") + std::to_string(i));
+  w.run_until(150);
+  w.checker().troubles_over(60);
+  for (const auto& b : w.checker().broken()) ADD_FAILURE() << "rule broken: " << b;
+  for (const auto& id : ids) EXPECT_EQ(w.phase(id), "done") << id;
+  expect_all_answered(w, ids);
+}
+
 // At size: machines that come up together cost few transactions, and users are not kept waiting by
 // the progress of arrays, within a state service that refuses what is over its rate.
 struct Strain {
