--- a/src/core/part.h
+++ b/src/core/part.h
@@ -127,6 +127,8 @@
     std::size_t jobs_queued = 0, jobs_running = 0, queued = 0, bound = 0, running = 0, done = 0;
   };
   Count count() const;
+  // Jobs and machines looked at for reports since the start.
+  std::uint64_t steps() const { return steps_; }
   std::uint64_t take_preemptions() { return std::exchange(preemptions_, 0); }
 
  private:
@@ -282,7 +284,7 @@
   Ms reordered_ = 0;
   double slack_s_ = 0, wait_s_ = 0;  // see `PartNeed`
   Ms surplus_since_ = 0;
-  std::uint64_t counter_ = 0, preemptions_ = 0;
+  std::uint64_t counter_ = 0, preemptions_ = 0, steps_ = 0;
   std::map<std::string, std::vector<Order>> kills_;
 };
 
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -135,6 +135,7 @@
   j.most_services = 0;
   j.service_machines = 0;
   for (const auto& [id, o] : machines_) {
+    ++steps_;
     if (!takes_work(*o, now) || o->service_cpus + j.spec.cpus > o->type->cpus ||
         !o->images.count(j.image) || !allowed(j.spec, *o->type, o->zone, o->spot))
       continue;
@@ -339,6 +340,7 @@
   const Ms reclaim_after =
       std::max(constants::kReclaimSoonestMs, constants::kReclaimByMs - limits_.report_ms * 5 / 4);
   for (Job* j : waiting()) {
+    ++steps_;
     auto within = [&] { return team_cpus_[j->team] + j->spec.cpus <= teams_[j->team].cpus + kEps; };
     const Ms waited = now - j->waiting_since;
     const bool by_rank = j->spec.rank > Rank::standard && waited >= constants::kPreemptAfterMs;
--- a/src/core/queue.cc
+++ b/src/core/queue.cc
@@ -56,6 +56,7 @@
   std::vector<std::pair<Job*, Ms>> keyed;
   bool missing = false;
   for (Job* j : waiting()) {
+    ++steps_;
     keyed.emplace_back(j, fetch_ms(m, *j) * constants::kFetchWeight);
     missing |= keyed.back().second > 0;
   }
--- a/tests/part_test.cc
+++ b/tests/part_test.cc
@@ -500,6 +500,43 @@
   EXPECT_EQ(freed(40000), "run-2");
 }
 
+// The work for one report must not grow with the machines of the part.
+TEST_F(PartTest, AReportCostsAsMuchInALargePart) {
+  auto steps = [this](int machines) {
+    MachineType box{"box", 8, 0, 64, 100, 0.1, 1, 1, 10, {"a", "b"}};
+    part = Part(0, kTerm, 0, kLimits, {{"red", 1e6, 1e6, 0, 0}});
+    part.set_types({box});
+    std::vector<std::string> ids;
+    for (int i = 0; i < machines; ++i) ids.push_back("m-" + std::to_string(i));
+    for (const auto& id : ids) part.add_machine(id, 12, true, 0);
+    for (int n = 0; n < 20; ++n) {
+      JobSpec s = job("run-" + std::to_string(n), 2000);
+      s.image = "image-" + std::to_string(n);
+      s.image_gb = 1;
+      part.open_job(s, 20 + static_cast<std::uint64_t>(n), false, {});
+    }
+    // Services that have waited long already, and find no room for long.
+    for (int n = 20; n < 25; ++n) {
+      JobSpec s = job("run-" + std::to_string(n), 1);
+      s.kind = Kind::service;
+      s.memory_gb = 65;
+      part.open_job(s, 20 + static_cast<std::uint64_t>(n), false, {});
+    }
+    for (Ms now : {2000, 4000, 6000}) {
+      part.tick(now);
+      for (const auto& id : ids) {
+        part.on_report(report(id), now);  // whatever was started there is gone
+        part.place(id, now);
+        part.answered(id, now);
+      }
+    }
+    return static_cast<double>(part.steps()) / machines;
+  };
+  const double small = steps(30);
+  EXPECT_GT(small, 0);
+  EXPECT_LT(steps(300), small * 1.1);
+}
+
 // What the leader hears of stated waits: the shortest among the arrays that the part has.
 TEST_F(PartTest, TheShortestStatedWaitIsTold) {
   EXPECT_EQ(part.need(0).wait_s, 0);
