--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -282,7 +282,9 @@
            });
 }
 
-bool Owner::hears() const { return silent_ < static_cast<Ms>(s_.report_s * 1250) + k::kSilenceMs; }
+bool Owner::hears() const {
+  return silent_ < static_cast<Ms>(s_.report_s * 1000 * 5 / 4) + k::kSilenceMs;
+}
 
 // Whether a peer says that it hears no worker.
 bool Owner::unheard(const std::string& node) const {
--- a/src/constants.h
+++ b/src/constants.h
@@ -59,12 +59,13 @@
 constexpr Ms kPreemptAfterMs = 250;         // ms; several machines have reported by then
 constexpr Ms kReclaimByMs = 4000;           // ms; a guarantee is reclaimed within the usual 5 s
 constexpr Ms kReclaimSoonestMs = 500;       // ms; at once would stop work that ends by itself
-constexpr Ms kFetchWeight = 2;          // times the fetch; a job without its image is so much later
-constexpr Ms kReorderMs = 250;          // ms; how stale the order of the queue may be
-constexpr Ms kStartAllowanceMs = 3000;  // ms; from start to running, over the estimate
-constexpr Ms kUnboundedMs = 300000;     // ms; the latest start of a job without aim or deadline
-constexpr int kPatienceBounds = 4;      // times its last aim; a job that late goes first again
-constexpr int kAttemptBits = 24;        // bits; attempts within one term, below the term's bits
+constexpr Ms kFetchWeight = 2;  // times the fetch; a job without its image is so much later
+constexpr std::size_t kImagesKnown = 4096;  // besides those of open jobs; far more than are cached
+constexpr Ms kReorderMs = 250;              // ms; how stale the order of the queue may be
+constexpr Ms kStartAllowanceMs = 3000;      // ms; from start to running, over the estimate
+constexpr Ms kUnboundedMs = 300000;         // ms; the latest start of a job without aim or deadline
+constexpr int kPatienceBounds = 4;          // times its last aim; a job that late goes first again
+constexpr int kAttemptBits = 24;            // bits; attempts within one term, below the term's bits
 
 // --- state service ------------------------------------------------------------------------
 constexpr double kBudgetShare = 0.9;   // share of the rates used; the rest absorbs clock skew
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -148,6 +148,7 @@
   j->older = older;
   j->team = team_index(spec.team);
   if (j->team < 0) return;
+  if (image_numbers_.size() >= constants::kImagesKnown + jobs_.size()) forget_images();
   j->image = image_number(spec.image);
   j->state.assign(spec.tasks, State::queued);
   j->queued = spec.tasks;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -129,6 +129,7 @@
   Count count() const;
   // Jobs and machines looked at for reports since the start.
   std::uint64_t steps() const { return steps_; }
+  std::size_t images_known() const { return image_numbers_.size(); }
   std::uint64_t take_preemptions() { return std::exchange(preemptions_, 0); }
 
  private:
@@ -246,6 +247,7 @@
   double waiting_cpus() const;
   void reorder(Ms now);
   int image_number(const std::string& image);
+  void forget_images();
   static Ms fetch_ms(const Machine& m, const Job& j);
   std::vector<Job*> order_for(const Machine& m);
   const std::vector<Job*>& waiting();
--- a/src/core/queue.cc
+++ b/src/core/queue.cc
@@ -39,6 +39,19 @@
                    [](const Job* a, const Job* b) { return urgency(*a, 0) < urgency(*b, 0); });
 }
 
+// Guard: with an image for every job the numbers would grow for ever. What machines have cached is
+// learned again; until then a fetch may be expected that is none.
+void Part::forget_images() {
+  image_numbers_.clear();
+  totals_.with_image.clear();
+  for (Job* j : order_) j->image = image_number(j->spec.image);
+  for (auto& [id, m] : machines_) {
+    m->images.clear();
+    for (const auto& [key, b] : m->tasks)
+      if (b.job) m->images.insert(b.job->image);
+  }
+}
+
 int Part::image_number(const std::string& image) {
   return image_numbers_.try_emplace(image, static_cast<int>(image_numbers_.size())).first->second;
 }
--- a/tests/part_test.cc
+++ b/tests/part_test.cc
@@ -537,6 +537,26 @@
   EXPECT_LT(steps(300), small * 1.1);
 }
 
+// An image for every job: what is known of images stays bounded, and jobs go on starting.
+TEST_F(PartTest, AnImageForEveryJob) {
+  part.add_machine("m-1", 12, true, 0);
+  for (std::uint64_t n = 0; n < 3 * constants::kImagesKnown; ++n) {
+    JobSpec s = job("run-" + std::to_string(n), 1);
+    s.image = "image-" + std::to_string(n);
+    part.open_job(s, 20 + n, false, {});
+    const Ms now = static_cast<Ms>(n);
+    part.on_report(report("m-1"), now);
+    part.tick(now);
+    ASSERT_EQ(part.place("m-1", now).size(), 1u) << n;
+    part.answered("m-1", now);
+    part.on_report(report("m-1", {task(s.id, 0, (12 << constants::kAttemptBits) + n + 1,
+                                       TaskPhase::exited, Cause::done)}),
+                   now);
+    part.close_job(s.id);
+  }
+  EXPECT_LE(part.images_known(), constants::kImagesKnown + 1);
+}
+
 // What the leader hears of stated waits: the shortest among the arrays that the part has.
 TEST_F(PartTest, TheShortestStatedWaitIsTold) {
   EXPECT_EQ(part.need(0).wait_s, 0);
