--- /dev/null
+++ b/src/actors/owner_parts.cc
@@ -0,0 +1,294 @@
+// Whose part is whose: claims, pledges, activation, hand-back and loss. What an owner does with a
+// part stands in owner.cc.
+#include <spdlog/spdlog.h>
+
+#include "actors/owner.h"
+
+namespace eiderreel {
+
+namespace k = constants;
+
+// Invariant 6: whoever is not surely the owner does nothing. Sure is who has a live grant, or,
+// while nobody reaches the state service, the pledges of all peers not to claim its parts.
+bool Owner::entitled() const {
+  if (registrar_.grant_alive()) return true;
+  if (registrar_.grant() == 0 || s_.peers.empty()) return false;
+  const Ms now = rt_.now();
+  return std::all_of(s_.peers.begin(), s_.peers.end(), [&](const Peer& p) {
+    auto it = pledge_until_.find(p.name);
+    return it != pledge_until_.end() && now < it->second;
+  });
+}
+
+bool Owner::acting(int part) const {
+  auto it = owned_.find(part);
+  return it != owned_.end() && it->second.active && entitled();
+}
+
+// Asked as soon as the state service is silent, so that the pledges are there when the grant
+// can no longer be sure. A pledge counts from the sending of the question.
+void Owner::ask_pledges() {
+  const Ms now = rt_.now();
+  if (owned_.empty() || now - registrar_.last_good() < k::kStateSilentMs ||
+      now - pledge_asked_at_ < k::kPledgeEveryMs)
+    return;
+  pledge_asked_at_ = now;
+  mesh::PledgeAsk a;
+  a.number = ++next_pledge_;
+  a.life = k::kPledgeMs;
+  for (const auto& [part, o] : owned_) a.parts.emplace_back(part, o.core->term());
+  pledge_asked_[a.number] = now;
+  while (pledge_asked_.size() > k::kPledgesOpen) pledge_asked_.erase(pledge_asked_.begin());
+  hooks_.broadcast(a);
+}
+
+void Owner::pledged(const std::string& node, const mesh::Pledge& p) {
+  auto asked = pledge_asked_.find(p.number);
+  if (asked == pledge_asked_.end() || !p.given) return;
+  const Ms until =
+      asked->second + static_cast<Ms>(k::kPledgeMs * (1 - k::kDrift)) - k::kGrantMarginMs;
+  Ms& held = pledge_until_[node];
+  held = std::max(held, until);
+}
+
+// We promise only while we do not reach the state service either, and only to the owner that we
+// last saw there. A claim of ours that may still land forbids it. An earlier process of this
+// node had a grant that is ended before we have one, so none of its claims can land any more.
+bool Owner::pledge(const std::string& node, const mesh::PledgeAsk& a) {
+  const View& v = registrar_.view();
+  const Ms now = rt_.now();
+  if (!v.ready || registrar_.grant() == 0 || a.life > k::kPledgeMs ||
+      now - registrar_.last_good() < k::kStateSilentMs)
+    return false;
+  for (const auto& [part, stamp] : a.parts) {
+    auto it = v.parts.find(part);
+    if (it == v.parts.end() || it->second.owner != node || it->second.stamp != stamp ||
+        claiming_.count(part) || in_doubt_.count(part) || owned_.count(part))
+      return false;
+  }
+  for (const auto& [part, stamp] : a.parts)
+    promised_[part] = std::max(promised_[part], now + static_cast<Ms>(a.life * (1 + k::kDrift)));
+  return true;
+}
+
+// ----------------------------------------------------------- claims, hand-back and loss
+
+void Owner::claim_vacant() {
+  const View& v = registrar_.view();
+  if (!v.ready || !registrar_.grant_alive()) return;
+  const Ms now = rt_.now();
+  for (int part = 0; part < s_.parts; ++part) {
+    if (v.parts.count(part) || claiming_.count(part)) {
+      vacant_since_.erase(part);
+      continue;
+    }
+    const Ms since = vacant_since_.emplace(part, now).first->second;
+    // Invariant 6: a promise is kept, also one that an earlier process of this node has given.
+    if (now < promised_[part]) continue;
+    if (last_owner_[part] != s_.node && now - started_ < k::kPledgeMs + k::kGrantMarginMs) continue;
+    const std::string home = s_.home_of(part);
+    Ms wait = 0;
+    if (home != s_.node)
+      wait = v.nodes.count(home) && !unheard(home) ? k::kClaimHomeAliveMs : k::kClaimOtherMs;
+    if (!hears()) wait += k::kClaimUnheardMs;
+    if (now - since >= wait) claim(part);
+  }
+}
+
+void Owner::claim(int part) {
+  claiming_.insert(part);
+  Commit c;
+  c.nonce = registrar_.nonce();
+  c.guards = {{codec::part_key(part), 0}};
+  c.writes = {{codec::part_key(part),
+               codec::encode(codec::PartRecord{s_.node, registrar_.grant()}, c.nonce), true}};
+  c.pace = Pace::urgent;
+  const std::uint64_t grant = registrar_.grant();
+  c.done = [this, part, grant](Outcome o, std::uint64_t stamp) {
+    if (o == Outcome::ok && grant == registrar_.grant()) activate(part, stamp);
+    // In doubt it may still land: the part's key will tell (see part_changed). Guard: it may also
+    // never land, so the part is claimed again; a part nobody may claim stays without owner.
+    if (o == Outcome::unknown && grant == registrar_.grant()) in_doubt_.insert(part);
+    rt_.after(o == Outcome::refused ? k::kOverLimitMs : 0, [this, part] { claiming_.erase(part); });
+  };
+  registrar_.commit(std::move(c));
+}
+
+void Owner::activate(int part, std::uint64_t stamp) {
+  if (owned_.count(part)) return;
+  ++counters_.claims;
+  spdlog::info("part claimed part={} term={} node={}", part, stamp, s_.node);
+  Owned& o = owned_[part];
+  o.core = std::make_unique<Part>(
+      part, stamp, rt_.now(),
+      PartLimits{static_cast<Ms>(s_.lease_s * 1000), static_cast<Ms>(s_.report_s * 1000),
+                 s_.finish_aims, s_.wait_aims},
+      s_.teams_of(part));
+  o.core->set_types(types_);
+  // The picture is whole once the view has our claim: nothing of the part's changes after it
+  // without us, but for new jobs and machines, which the view will tell.
+  registrar_.when_seen(stamp, [this, part, stamp] { load_done(part, stamp); });
+}
+
+void Owner::load_done(int part, std::uint64_t stamp) {
+  Owned* o = owned(part);
+  if (!o || o->core->term() != stamp) return;
+  registrar_.list(codec::done_prefix(part), [this, part, stamp](auto rows) {
+    Owned* o = owned(part);
+    if (!o || o->core->term() != stamp) return;
+    if (!rows) {
+      rt_.after(k::kRetryMs, [this, part, stamp] { load_done(part, stamp); });
+      return;
+    }
+    const View& v = registrar_.view();
+    std::map<std::string, std::vector<std::uint32_t>> done;
+    for (const auto& r : *rows) {
+      const std::string job = codec::done_key_job(r.key);
+      if (!v.jobs.count(job) || !r.done) continue;
+      done[job].insert(done[job].end(), r.done->tasks.begin(), r.done->tasks.end());
+      const auto chunk = static_cast<std::uint32_t>(std::stoul(codec::key_name(r.key)));
+      o->flushes[job].chunk_stamps[chunk] = r.stamp;
+    }
+    const Ms now = rt_.now();
+    for (const auto& [id, m] : v.machines)
+      if (m.record.part == part) o->core->add_machine(id, m.stamp, m.stamp > stamp, now);
+    for (const auto& [id, j] : v.jobs)
+      if (s_.part_of_team(j.spec.team) == part)
+        o->core->open_job(j.spec, j.stamp, j.stamp < stamp, done[id],
+                          std::max<Ms>(0, rt_.wall() - j.spec.accepted_at));
+    o->active = true;
+    spdlog::info("part active part={} term={} jobs={} machines={}", part, stamp,
+                 o->core->job_count(), o->core->machine_names().size());
+  });
+}
+
+void Owner::drop(int part, const char* reason) {
+  auto it = owned_.find(part);
+  if (it == owned_.end()) return;
+  spdlog::info("part dropped part={} term={} reason={}", part, it->second.core->term(), reason);
+  auto parked = std::move(it->second.parked);
+  owned_.erase(it);
+  for (auto& [id, p] : parked) p.reply(503, "");
+}
+
+void Owner::grant_lost() {
+  in_doubt_.clear();  // what is tethered to a grant that is over cannot land any more
+  while (!owned_.empty()) drop(owned_.begin()->first, "grant-lost");
+}
+
+void Owner::part_changed(int part) {
+  Owned* o = owned(part);
+  auto it = registrar_.view().parts.find(part);
+  if (it != registrar_.view().parts.end()) {
+    last_owner_[part] = it->second.owner;
+    // A claim of ours has landed, perhaps one that was in doubt.
+    auto left = giving_up_.find(part);
+    if (!o && it->second.owner == s_.node && it->second.grant == registrar_.grant() &&
+        (left == giving_up_.end() || left->second != it->second.stamp))
+      return activate(part, it->second.stamp);
+  }
+  if (!o) return;
+  const bool ours = it != registrar_.view().parts.end() && it->second.owner == s_.node &&
+                    it->second.stamp == o->core->term();
+  if (!ours) drop(part, "key-changed");
+}
+
+// Whether a part may be given up now: the state service surely hears of it.
+bool Owner::settled() const {
+  return registrar_.grant_alive() && rt_.now() - registrar_.last_good() < k::kStateSilentMs;
+}
+
+// The key of a part is deleted under guard, and another node claims it. We stop acting before the
+// commit is sent, since it may land unanswered.
+void Owner::hand_over(int part, const char* reason) {
+  const std::uint64_t stamp = owned_.at(part).core->term();
+  drop(part, reason);
+  ++counters_.handed_back;
+  giving_up_[part] = stamp;
+  give_up(part, stamp);
+}
+
+// A part whose home node is up again, and hears workers, goes back to it.
+void Owner::hand_back() {
+  const View& v = registrar_.view();
+  const Ms now = rt_.now();
+  for (auto& [part, o] : owned_) {
+    const std::string home = s_.home_of(part);
+    if (home == s_.node || !o.active || !settled()) continue;
+    auto node = v.nodes.find(home);
+    if (node == v.nodes.end() || now - node->second.seen < k::kHandBackAfterMs ||
+        !peer_alive(home) || unheard(home))
+      continue;
+    hand_over(part, "handed-back");
+    return;  // the map has changed; one a tick is enough
+  }
+}
+
+// How long no worker has been heard of. Counted by ticks, so that a process which stood still does
+// not take its own absence for theirs. A node that has heard none for a moment, perhaps since it
+// owns no machines, asks any of all machines.
+void Owner::listen() {
+  const Ms now = rt_.now();
+  silent_ += std::min(now - std::exchange(listened_at_, now), 2 * k::kTickMs);
+  const auto& machines = registrar_.view().machines;
+  if (machines.empty()) silent_ = 0;
+  if (silent_ < static_cast<Ms>(s_.report_s * 1000 / 2) || now - probed_at_ < k::kProbeEveryMs)
+    return;
+  probed_at_ = now;
+  const auto any = static_cast<std::ptrdiff_t>(rt_.random() * static_cast<double>(machines.size()));
+  rt_.http({std::next(machines.begin(), any)->second.record.addr, "GET", "/inspect", "",
+            k::kCommandTimeoutMs, true},
+           [this](HttpReply r) {
+             if (r.status == 200) silent_ = 0;
+           });
+}
+
+bool Owner::hears() const {
+  return silent_ < static_cast<Ms>(s_.report_s * 1000 * 5 / 4) + k::kSilenceMs;
+}
+
+// Whether a peer says that it hears no worker.
+bool Owner::unheard(const std::string& node) const {
+  auto it = peers_.find(node);
+  return it != peers_.end() && !it->second.status.hears && peer_alive(node);
+}
+
+// Guard: a controller that has lost its workers alone keeps its grant, and would keep its parts;
+// their leases would end, all of them together. It gives the parts to a peer that hears workers,
+// in time for them to find it.
+void Owner::leave_unheard() {
+  if (hears() || !settled()) return;
+  const bool heard = std::any_of(s_.peers.begin(), s_.peers.end(), [&](const Peer& p) {
+    return peer_alive(p.name) && !unheard(p.name) && registrar_.view().nodes.count(p.name);
+  });
+  if (!heard) return;
+  for (const auto& [part, o] : owned_)
+    if (o.active) {
+      last_status_ = 0;  // peers should know before they see the key go
+      return hand_over(part, "workers-lost");
+    }
+}
+
+// Guard: until the deletion has surely landed the key says that the part is ours, while nobody acts
+// for it. Refused once and not sent again, it stood there for ever: all machines of the part were
+// sent from node to node and back, and no task of it started any more.
+void Owner::give_up(int part, std::uint64_t stamp) {
+  Commit c;
+  c.nonce = registrar_.nonce();
+  c.guards = {{codec::part_key(part), stamp}};
+  c.writes = {{codec::part_key(part), "", false}};
+  c.pace = Pace::urgent;
+  c.done = [this, part, stamp](Outcome o, std::uint64_t) {
+    const auto& parts = registrar_.view().parts;
+    auto it = parts.find(part);
+    if (o == Outcome::ok || o == Outcome::conflict || it == parts.end() ||
+        it->second.stamp != stamp) {
+      giving_up_.erase(part);
+      return;
+    }
+    rt_.after(k::kRetryMs, [this, part, stamp] { give_up(part, stamp); });
+  };
+  registrar_.commit(std::move(c));
+}
+
+}  // namespace eiderreel
