--- a/src/core/queue.cc
+++ b/src/core/queue.cc
@@ -78,6 +78,7 @@
       return urgency(*a.first, a.second) < urgency(*b.first, b.second);
     });
   std::vector<Job*> out;
+  out.reserve(keyed.size());
   for (const auto& [j, later] : keyed) out.push_back(j);
   return out;
 }
