--- a/tests/trace_test.cc
+++ b/tests/trace_test.cc
@@ -15,6 +15,10 @@
 
 namespace {
 
+void expect_no_lease_ends(const World& w) {
+  for (const auto& line : w.trace()) EXPECT_EQ(line.find("lease over"), std::string::npos) << line;
+}
+
 struct Trace : testing::Test {
   void compare(World& w, const std::string& name) {
     for (const auto& b : w.checker().broken()) ADD_FAILURE() << "rule broken: " << b;
@@ -403,7 +407,7 @@
   w.run_until(90);
   w.checker().troubles_over(50);
   expect_usual_load_ends(w);
-  for (const auto& line : w.trace()) EXPECT_EQ(line.find("lease over"), std::string::npos) << line;
+  expect_no_lease_ends(w);
   expect_all_answered(w, kUsual);
   compare(w, "only_workers_" + mode());
 }
@@ -425,7 +429,7 @@
   EXPECT_EQ(w.owner_of(1), 1);
   w.checker().troubles_over(50);
   expect_usual_load_ends(w);
-  for (const auto& line : w.trace()) EXPECT_EQ(line.find("lease over"), std::string::npos) << line;
+  expect_no_lease_ends(w);
   expect_all_answered(w, kUsual);
   compare(w, "workers_lost_" + mode());
 }
@@ -442,7 +446,7 @@
   EXPECT_EQ(w.owner_of(1), 1);
   EXPECT_EQ(w.phase("run-103"), "cancelled");
   EXPECT_EQ(w.phase("run-104"), "done");
-  for (const auto& line : w.trace()) EXPECT_EQ(line.find("lease over"), std::string::npos) << line;
+  expect_no_lease_ends(w);
   compare(w, "a_controller_stands_still");
 }
 
@@ -517,7 +521,7 @@
     w.crash(2, 0.3);
   });
   w.run_until(50);
-  for (const auto& line : w.trace()) EXPECT_EQ(line.find("lease over"), std::string::npos) << line;
+  expect_no_lease_ends(w);
   for (int i = 0; i < 40; ++i)
     w.kill_machine("m-" + std::string(i < 10 ? "00000" : "0000") + std::to_string(i));
   w.run_until(150);
