--- a/src/actors/desk.cc
+++ b/src/actors/desk.cc
@@ -72,7 +72,7 @@
       spdlog::info("job accepted job={} stamp={}", id, stamp);
       return reply(201, codec::job_answer(id, JobPhase::queued));
     }
-    if (o == Outcome::conflict) return look_up(id, false, reply);
+    if (o == Outcome::conflict || o == Outcome::superseded) return look_up(id, false, reply);
     spdlog::debug("job refused job={} outcome={}", id, static_cast<int>(o));
     refuse(reply, "the state service did not confirm; try again");
   };
@@ -118,7 +118,7 @@
     registrar_.read(codec::final_key(id), [this, id, cancel, reply](auto row) {
       if (!row) return refuse(reply, "the state service does not answer");
       if (row->stamp == 0 || !row->final_phase) return reply(404, codec::error_body("no such job"));
-      registrar_.remember_final(id, *row->final_phase);
+      registrar_.remember_final(id, *row->final_phase, row->stamp);
       reply(200, cancel ? codec::job_answer(id, *row->final_phase)
                         : codec::job_status(id, {*row->final_phase, 0, 0}));
     });
--- a/src/actors/fleet.cc
+++ b/src/actors/fleet.cc
@@ -154,7 +154,7 @@
   }
   c.done = [this, ids](Outcome o, std::uint64_t) {
     // One that was assigned before holds up the others: each goes alone then.
-    if (o == Outcome::conflict && ids.size() > 1) {
+    if ((o == Outcome::conflict || o == Outcome::superseded) && ids.size() > 1) {
       for (const auto& id : ids) send_assignments({id});
       return;
     }
--- a/src/actors/node.cc
+++ b/src/actors/node.cc
@@ -70,9 +70,7 @@
     void operator()(const mesh::Move& mv) { n.owner_.move(mv); }
     void operator()(const mesh::Shed& sh) { n.owner_.shed(sh); }
     void operator()(const mesh::Gone& g) { n.owner_.machines_gone(g.machines); }
-    void operator()(const mesh::PledgeAsk& a) {
-      n.send(from, mesh::Pledge{a.number, n.owner_.pledge(from, a)});
-    }
+    void operator()(const mesh::PledgeAsk& a) { n.send(from, n.owner_.pledge(from, a)); }
     void operator()(const mesh::Pledge& p) { n.owner_.pledged(from, p); }
   };
   std::visit(Visitor{*this, m->from}, m->body);
--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -132,13 +132,27 @@
       answer(o, kill.machine, std::move(kill.orders), std::move(reply));
       continue;
     }
+    const int part = o.core->index();
     rt_.http(
         {kill.addr, "POST", "/commands", codec::commands_body(kill.term, kill.tenure, kill.orders),
          k::kCommandTimeoutMs, true},
-        [](HttpReply) {});  // its next report tells what came of it
+        [this, part, machine = kill.machine, term = o.core->term()](HttpReply r) {
+          // Its next report tells what came of it. Guard: without an answer it may be mute, and
+          // hear of the kill in no other way.
+          if (r.status == 0) kill_again(part, term, machine);
+        });
   }
 }
 
+void Owner::kill_again(int part, std::uint64_t term, const std::string& machine) {
+  rt_.after(k::kRetryMs, [this, part, term, machine] {
+    Owned* o = acting_owned(part);
+    if (!o || o->core->term() != term) return;
+    o->core->kill_again(machine);
+    send_kills(*o);
+  });
+}
+
 void Owner::machines_gone(const std::vector<std::string>& machines) {
   for (auto& [part, o] : owned_)
     for (const auto& id : machines)
@@ -184,7 +198,7 @@
   if (!batch.empty()) give_away(m.part, m.to, std::move(batch));
 }
 
-void Owner::give_away(int part, int to, std::vector<std::string> machines) {
+void Owner::give_away(int part, int to, const std::vector<std::string>& machines) {
   const View& v = registrar_.view();
   const std::uint64_t term = owned_.at(part).core->term();
   Commit c;
@@ -199,26 +213,33 @@
     c.writes.push_back({codec::machine_key(id), codec::encode(record, c.nonce), false});
     spdlog::info("machine moves machine={} from={} to={} term={}", id, part, to, term);
   }
-  c.done = [this, part, to, term, machines](Outcome out, std::uint64_t) {
+  send_move(part, term, machines, std::move(c));
+}
+
+// Guard: in doubt they stay on their way out, and the same commit is tried until it is proven done
+// or undone. A later try that was refused once let their owner use them again; then the first
+// landed after all, and their tasks were started a second time while they still ran.
+void Owner::send_move(int part, std::uint64_t term, const std::vector<std::string>& machines,
+                      Commit c) {
+  c.done = [this, part, term, machines, again = c](Outcome out, std::uint64_t) mutable {
     Owned* o = owned(part);
     if (!o || o->core->term() != term) return;
-    // In doubt they stay on their way out, since the commit may still land, and are tried again.
-    if (out == Outcome::unknown) return try_again(part, to, term, machines);
+    again.doubt = true;
+    if (out == Outcome::unknown) return move_again(part, term, machines, again);
     for (const auto& id : machines) o->core->end_leave(id);
   };
   registrar_.commit(std::move(c));
 }
 
-void Owner::try_again(int part, int to, std::uint64_t term, std::vector<std::string> machines) {
-  rt_.after(k::kRetryMs, [this, part, to, term, machines] {
+void Owner::move_again(int part, std::uint64_t term, const std::vector<std::string>& machines,
+                       const Commit& c) {
+  rt_.after(k::kRetryMs, [this, part, term, machines, c] {
     Owned* o = owned(part);
     if (!o || o->core->term() != term) return;
-    std::vector<std::string> still;
-    for (const auto& id : machines)
-      if (o->core->has_machine(id) && registrar_.view().machines.count(id)) still.push_back(id);
-    if (still.empty()) return;
-    if (!acting(part)) return try_again(part, to, term, std::move(still));
-    give_away(part, to, std::move(still));
+    if (acting(part))
+      send_move(part, term, machines, c);
+    else
+      move_again(part, term, machines, c);
   });
 }
 
@@ -251,8 +272,18 @@
   Owned* o = part < 0 ? nullptr : acting_owned(part);
   auto status = o ? o->core->status(a.job) : std::nullopt;
   if (!status) return reply(0, "");
-  if (!a.cancel) return reply(200, codec::job_status(a.job, *status));
-  finish(part, a.job, JobPhase::cancelled, std::move(reply));
+  if (!a.cancel) {
+    // Guard: while a final commit may have landed, a peer may have read it and told its users. What
+    // we hold to be open would then go back on that; the state service alone can tell.
+    auto f = o->flushes.find(a.job);
+    if (f != o->flushes.end() && f->second.last_word) return reply(0, "");
+    return reply(200, codec::job_status(a.job, *status));
+  }
+  // Its tasks are of no use to anyone from now on. Guard: killed only after the commit, they went
+  // on for as long as its outcome was in doubt.
+  o->core->cancel_job(a.job);
+  send_kills(*o);
+  finish(part, a.job, std::move(reply));
 }
 
 std::vector<codec::Guard> Owner::job_guards(int part, const std::string& id) const {
@@ -260,60 +291,67 @@
   return {{codec::part_key(part), core.term()}, {codec::job_key(id), core.job_stamp(id)}};
 }
 
-// Invariant 7: done and cancelled are told only after this commit. Until its outcome is known
-// nothing of the job is started; in doubt it is tried again for as long as we are the owner.
-void Owner::finish(int part, const std::string& id, JobPhase phase, Reply reply) {
+// Invariant 7: done and cancelled are told only after this commit. It is tried until its outcome
+// is proven, for as long as we are the owner, and nothing of the job is started. A job whose tasks
+// are all done is done, also for a user who calls it off.
+void Owner::finish(int part, const std::string& id, Reply reply) {
   Owned& o = owned_.at(part);
   Flush& f = o.flushes[id];
   if (f.in_flight) return reply(503, codec::error_body("the job is changing"));
   f.in_flight = true;
   o.core->hold_job(id);
-  Commit c;
-  c.nonce = registrar_.nonce();
-  c.guards = job_guards(part, id);
-  c.writes = {{codec::final_key(id), codec::encode_final(phase, c.nonce), false},
-              {codec::job_key(id), "", false}};
-  for (const auto& [chunk, stamp] : f.chunk_stamps)
-    c.writes.push_back({codec::done_key(part, id, chunk), "", false});
   const std::uint64_t term = o.core->term();
-  c.done = [this, part, id, phase, term, reply](Outcome out, std::uint64_t) {
-    Owned* o = owned(part);
-    const bool still = o && o->core->term() == term;
-    if (out == Outcome::ok) {
-      spdlog::info("job {} job={} term={}", codec::phase_name(phase), id, term);
-      reply(200, codec::job_answer(id, phase));
-      return;
-    }
-    if (still) {
-      auto f = o->flushes.find(id);
-      if (f != o->flushes.end()) {
-        f->second.in_flight = false;
-        f->second.last = rt_.now();
-      }
-      if (out == Outcome::refused && phase == JobPhase::cancelled) o->core->release_job(id);
-    }
-    spdlog::warn("job not-final job={} phase={} term={} outcome={}", id, codec::phase_name(phase),
-                 term, static_cast<int>(out));
-    reply(503, codec::error_body("the state service did not confirm; ask again"));
-    if (still && out == Outcome::unknown && phase == JobPhase::cancelled)
-      rt_.after(k::kRetryMs, [this, part, id, term] {
-        Owned* o = acting_owned(part);
-        if (o && o->core->term() == term && o->core->has_job(id))
-          finish(part, id, JobPhase::cancelled, [](int, std::string) {});
-      });
+  if (!f.last_word) {
+    Commit c;
+    c.nonce = registrar_.nonce();
+    c.guards = job_guards(part, id);
+    const JobPhase phase = o.core->complete(id) ? JobPhase::done : JobPhase::cancelled;
+    c.writes = {{codec::final_key(id), codec::encode_final(phase, c.nonce), false},
+                {codec::job_key(id), "", false}};
+    for (const auto& [chunk, stamp] : f.chunk_stamps)
+      c.writes.push_back({codec::done_key(part, id, chunk), "", false});
+    f.last_word = {phase, std::move(c)};
+  }
+  Commit c = f.last_word->commit;
+  c.done = [this, part, id, term, reply, phase = f.last_word->phase](Outcome out, std::uint64_t) {
+    finished(part, id, term, out, phase, reply);
   };
   registrar_.commit(std::move(c));
 }
 
+// Guard: in doubt it stays in doubt. A later try of it that was refused once let the job's tasks
+// start again; then the first landed after all, and another node said "cancelled" while they ran.
+void Owner::finished(int part, const std::string& id, std::uint64_t term, Outcome out,
+                     JobPhase phase, const Reply& reply) {
+  if (out == Outcome::ok) {
+    spdlog::info("job {} job={} term={}", codec::phase_name(phase), id, term);
+    return reply(200, codec::job_answer(id, phase));
+  }
+  Owned* o = owned(part);
+  if (o && o->core->term() == term)
+    if (auto f = o->flushes.find(id); f != o->flushes.end()) {
+      f->second.in_flight = false;
+      f->second.last = rt_.now();
+      if (out == Outcome::unknown)
+        f->second.last_word->commit.doubt = true;
+      else
+        f->second.last_word.reset();
+    }
+  spdlog::warn("job not-final job={} phase={} term={} outcome={}", id, codec::phase_name(phase),
+               term, static_cast<int>(out));
+  reply(503, codec::error_body("the state service did not confirm; ask again"));
+}
+
 void Owner::flush(int part, Owned& o) {
   const Ms now = rt_.now();
+  // While it is silent, users alone are a reason to try; it is asked for the grant all the time.
+  const bool silent = now - registrar_.last_good() >= k::kStateSilentMs;
   for (const auto& id : o.core->jobs_to_record()) {
     Flush& f = o.flushes[id];
     if (f.in_flight) continue;
-    if (o.core->complete(id)) {
-      if (now - f.last >= k::kFinishRetryMs)
-        finish(part, id, JobPhase::done, [](int, std::string) {});
-    } else if (!o.core->held(id) && now - f.last >= k::kDoneBatchMs) {
+    if (o.core->held(id) || o.core->complete(id)) {
+      if (now - f.last >= k::kFinishRetryMs && !silent) finish(part, id, [](int, std::string) {});
+    } else if (now - f.last >= k::kDoneBatchMs) {
       flush_job(part, o, id);
     }
   }
--- a/src/actors/owner.h
+++ b/src/actors/owner.h
@@ -42,8 +42,8 @@
   void machine_changed(const std::string& id);
   void part_changed(int part);
   void grant_lost();
-  // A peer asks us not to claim its parts for a while; whether we promise.
-  bool pledge(const std::string& node, const mesh::PledgeAsk& a);
+  // A peer asks us not to claim its parts for a while; what we promise, and what we hand over.
+  mesh::Pledge pledge(const std::string& node, const mesh::PledgeAsk& a);
   void pledged(const std::string& node, const mesh::Pledge& p);
   void types_known(const std::vector<MachineType>& types);
 
@@ -61,10 +61,16 @@
     Reply reply;
     Ms until = 0;
   };
+  struct LastWord {
+    JobPhase phase = JobPhase::done;
+    Commit commit;
+  };
   struct Flush {
     Ms last = 0;
     bool in_flight = false;
     std::map<std::uint32_t, std::uint64_t> chunk_stamps;
+    // The final commit that was sent and is not proven undone: it may have landed, or still may.
+    std::optional<LastWord> last_word;
   };
   struct Owned {
     std::unique_ptr<Part> core;
@@ -97,12 +103,18 @@
   void drop(int part, const char* reason);
   void answer(Owned& o, const std::string& machine, std::vector<Order> orders, Reply reply);
   void pump(Owned& o);
-  void give_away(int part, int to, std::vector<std::string> machines);
-  void try_again(int part, int to, std::uint64_t term, std::vector<std::string> machines);
+  void give_away(int part, int to, const std::vector<std::string>& machines);
+  void send_move(int part, std::uint64_t term, const std::vector<std::string>& machines, Commit c);
+  void move_again(int part, std::uint64_t term, const std::vector<std::string>& machines,
+                  const Commit& c);
   void send_kills(Owned& o);
+  void kill_again(int part, std::uint64_t term, const std::string& machine);
   void flush(int part, Owned& o);
   void flush_job(int part, Owned& o, const std::string& id);
-  void finish(int part, const std::string& id, JobPhase phase, Reply reply);
+  void finish(int part, const std::string& id, Reply reply);
+  void finished(int part, const std::string& id, std::uint64_t term, Outcome out, JobPhase phase,
+                const Reply& reply);
+  bool promises(const std::string& node, const mesh::PledgeAsk& a) const;
   std::vector<codec::Guard> job_guards(int part, const std::string& id) const;
 
   Runtime& rt_;
--- a/src/actors/owner_parts.cc
+++ b/src/actors/owner_parts.cc
@@ -36,6 +36,7 @@
   mesh::PledgeAsk a;
   a.number = ++next_pledge_;
   a.life = k::kPledgeMs;
+  a.ledger = registrar_.view().ledger;
   for (const auto& [part, o] : owned_) a.parts.emplace_back(part, o.core->term());
   pledge_asked_[a.number] = now;
   while (pledge_asked_.size() > k::kPledgesOpen) pledge_asked_.erase(pledge_asked_.begin());
@@ -45,6 +46,9 @@
 void Owner::pledged(const std::string& node, const mesh::Pledge& p) {
   auto asked = pledge_asked_.find(p.number);
   if (asked == pledge_asked_.end() || !p.given) return;
+  // Guard: our view stands still while pledges keep us acting. What the peer may have told its
+  // users we must know first: such a job's tasks went on for as long as the state service was down.
+  registrar_.take_closed(p.closed);
   const Ms until =
       asked->second + static_cast<Ms>(k::kPledgeMs * (1 - k::kDrift)) - k::kGrantMarginMs;
   Ms& held = pledge_until_[node];
@@ -54,7 +58,7 @@
 // We promise only while we do not reach the state service either, and only to the owner that we
 // last saw there. A claim of ours that may still land forbids it. An earlier process of this
 // node had a grant that is ended before we have one, so none of its claims can land any more.
-bool Owner::pledge(const std::string& node, const mesh::PledgeAsk& a) {
+bool Owner::promises(const std::string& node, const mesh::PledgeAsk& a) const {
   const View& v = registrar_.view();
   const Ms now = rt_.now();
   if (!v.ready || registrar_.grant() == 0 || a.life > k::kPledgeMs ||
@@ -66,11 +70,19 @@
         claiming_.count(part) || in_doubt_.count(part) || owned_.count(part))
       return false;
   }
-  for (const auto& [part, stamp] : a.parts)
-    promised_[part] = std::max(promised_[part], now + static_cast<Ms>(a.life * (1 + k::kDrift)));
   return true;
 }
 
+// With the promise goes every end of a job that the asker's view may lack; a node that has not
+// followed for as long as that cannot know them all, and promises nothing.
+mesh::Pledge Owner::pledge(const std::string& node, const mesh::PledgeAsk& a) {
+  auto closed = registrar_.closed_since(a.ledger);
+  if (!closed || !promises(node, a)) return {a.number, false, {}};
+  const Ms until = rt_.now() + static_cast<Ms>(a.life * (1 + k::kDrift));
+  for (const auto& [part, stamp] : a.parts) promised_[part] = std::max(promised_[part], until);
+  return {a.number, true, std::move(*closed)};
+}
+
 // ----------------------------------------------------------- claims, hand-back and loss
 
 void Owner::claim_vacant() {
@@ -108,7 +120,9 @@
     if (o == Outcome::ok && grant == registrar_.grant()) activate(part, stamp);
     // In doubt it may still land: the part's key will tell (see part_changed). Guard: it may also
     // never land, so the part is claimed again; a part nobody may claim stays without owner.
-    if (o == Outcome::unknown && grant == registrar_.grant()) in_doubt_.insert(part);
+    // Guard: that another claim stands there now says nothing of an earlier try without answer.
+    if ((o == Outcome::unknown || o == Outcome::superseded) && grant == registrar_.grant())
+      in_doubt_.insert(part);
     rt_.after(o == Outcome::refused ? k::kOverLimitMs : 0, [this, part] { claiming_.erase(part); });
   };
   registrar_.commit(std::move(c));
--- a/src/actors/registrar.cc
+++ b/src/actors/registrar.cc
@@ -277,7 +277,10 @@
            return;
          }
          // Changes since the first page are followed from its ledger, so none is missed.
-         if (follow_since_ == 0) follow_since_ = page->ledger;
+         if (follow_since_ == 0) {
+           follow_since_ = closed_from_ = page->ledger;
+           closed_.clear();  // which jobs ended since the changes that we missed is not known
+         }
          for (const auto& row : page->rows) {
            loaded_.insert(row.key);
            apply(row, true);
@@ -335,8 +338,13 @@
     waiting_.emplace(ledger, std::move(done));
 }
 
-void Registrar::remember_final(const std::string& id, JobPhase p) {
+void Registrar::remember_final(const std::string& id, JobPhase p, std::uint64_t stamp) {
   if (!view_.finals.emplace(id, p).second) return;
+  closed_.push_back({id, p, stamp});
+  if (closed_.size() > k::kClosedKept) {
+    closed_from_ = std::max(closed_from_, closed_.front().stamp);
+    closed_.pop_front();
+  }
   final_order_.push_back(id);
   if (final_order_.size() > k::kFinalCache) {
     view_.finals.erase(final_order_.front());
@@ -344,6 +352,25 @@
   }
 }
 
+std::optional<std::vector<ClosedJob>> Registrar::closed_since(std::uint64_t ledger) const {
+  if (!view_.ready || ledger < closed_from_) return std::nullopt;
+  std::vector<ClosedJob> out;
+  for (const auto& c : closed_)
+    if (c.stamp > ledger) out.push_back(c);
+  return out;
+}
+
+void Registrar::take_closed(const std::vector<ClosedJob>& closed) {
+  for (const auto& c : closed) {
+    remember_final(c.id, c.phase, c.stamp);
+    codec::StateRow record;
+    record.key = codec::job_key(c.id);
+    record.deleted = true;
+    record.stamp = c.stamp;
+    apply(record, true);
+  }
+}
+
 // Rows may come twice and, from our own commits, ahead of their turn: an older stamp changes
 // nothing, and a final job never opens again.
 void Registrar::apply(const codec::StateRow& row, bool announce) {
@@ -359,7 +386,7 @@
       if (announce) events_.job_opened(name);
     }
   } else if (under(row.key, "e/final/")) {
-    if (row.final_phase) remember_final(name, *row.final_phase);
+    if (row.final_phase) remember_final(name, *row.final_phase, row.stamp);
   } else if (under(row.key, "e/machine/")) {
     auto& m = view_.machines;
     auto it = m.find(name);
@@ -402,55 +429,63 @@
 // ------------------------------------------------------------------------------ commits
 
 void Registrar::commit(Commit c) {
-  try_commit(std::make_shared<Commit>(std::move(c)), k::kCommitTries, false);
+  try_commit(std::make_shared<Commit>(std::move(c)), k::kCommitTries);
 }
 
-void Registrar::try_commit(std::shared_ptr<Commit> c, int tries, bool doubt) {
+void Registrar::try_commit(std::shared_ptr<Commit> c, int tries) {
   submit({{"", "POST", "/commit", codec::commit_body(c->guards, c->writes, grant_),
            k::kStateTimeoutMs},
           static_cast<int>(c->writes.size()),
           c->pace,
           0,
-          [this, c, tries, doubt](HttpReply r) {
+          [this, c, tries](HttpReply r) {
             if (r.status == 200) {
               auto ledger = codec::parse_number(r.body, "ledger").value_or(0);
               apply_commit(*c, ledger);
               c->done(Outcome::ok, ledger);
             } else if (r.status == 409) {
               // Invariant 8: an earlier try of ours may be what the guards met.
-              if (doubt)
-                read_back(c, tries);
+              if (c->doubt)
+                read_back(c, codec::parse_number(r.body, "ledger").value_or(0), k::kCommitTries);
               else
                 c->done(Outcome::conflict, 0);
-            } else if (in_doubt(r.status) || doubt) {
+            } else if (in_doubt(r.status) || c->doubt) {
+              c->doubt = true;
               if (tries <= 1) {
                 c->done(Outcome::unknown, 0);
                 return;
               }
-              rt_.after(k::kRetryMs, [this, c, tries] { try_commit(c, tries - 1, true); });
+              rt_.after(k::kRetryMs, [this, c, tries] { try_commit(c, tries - 1); });
             } else {
               c->done(Outcome::refused, 0);
             }
           }});
 }
 
-// The guards failed after a try without answer: whose write is it that stands there?
-void Registrar::read_back(std::shared_ptr<Commit> c, int tries) {
-  read(c->writes.front().key, [this, c, tries](std::optional<codec::StateRow> row) {
+// The guards failed after a try without answer: whose write is it that stands there? Stamps only
+// grow, so a try guarded by stamps can land no more; one guarded by the absence of a key can.
+void Registrar::read_back(std::shared_ptr<Commit> c, std::uint64_t ledger, int tries) {
+  read(c->writes.front().key, [this, c, ledger, tries](std::optional<codec::StateRow> row) {
     if (row) {
       if (row->stamp != 0 && row->nonce == c->nonce) {
         apply_commit(*c, row->stamp);
         c->done(Outcome::ok, row->stamp);
-      } else {
-        c->done(Outcome::conflict, 0);
+        return;
       }
+      const bool by_absence = std::any_of(c->guards.begin(), c->guards.end(),
+                                          [](const codec::Guard& g) { return g.stamp == 0; });
+      // Guard: our write may have stood there for a while; the view knows then, before the caller.
+      if (by_absence)
+        c->done(Outcome::superseded, 0);
+      else
+        when_seen(ledger, [c] { c->done(Outcome::conflict, 0); });
       return;
     }
     if (tries <= 1) {
       c->done(Outcome::unknown, 0);
       return;
     }
-    rt_.after(k::kRetryMs, [this, c, tries] { read_back(c, tries - 1); });
+    rt_.after(k::kRetryMs, [this, c, ledger, tries] { read_back(c, ledger, tries - 1); });
   });
 }
 
--- a/src/actors/registrar.h
+++ b/src/actors/registrar.h
@@ -46,10 +46,12 @@
 };
 
 enum class Outcome {
-  ok,        // it is durable
-  conflict,  // a guard failed: nothing was done
-  refused,   // nothing was done
-  unknown,   // it may have been done, or may still be
+  ok,          // it is durable
+  conflict,    // a guard failed: nothing was done, and nothing will be
+  superseded,  // a guard on an absent key failed after a try without answer: somebody else's write
+               // stands there, but that try may still land once the key is gone
+  refused,     // nothing was done
+  unknown,     // it may have been done, or may still be
 };
 
 // What goes first when the budget of the state service is short. Users and what they are told come
@@ -62,6 +64,9 @@
   std::string nonce;
   Pace pace = Pace::user;
   std::function<void(Outcome, std::uint64_t ledger)> done;
+  // A try of it is without answer. Guard: a later try that is refused says nothing of that one, so
+  // whoever tries again after `unknown` sends this same commit with its doubt kept.
+  bool doubt = false;
 };
 
 class Registrar {
@@ -95,7 +100,11 @@
             std::function<void(std::optional<std::vector<codec::StateRow>>)> done);
   // Calls back once the view has all changes up to `ledger`.
   void when_seen(std::uint64_t ledger, std::function<void()> done);
-  void remember_final(const std::string& id, JobPhase p);
+  void remember_final(const std::string& id, JobPhase p, std::uint64_t stamp);
+  // All jobs that this node knows to have ended after `ledger`; nullopt when it cannot tell.
+  std::optional<std::vector<ClosedJob>> closed_since(std::uint64_t ledger) const;
+  // What a peer knows to be over is over in our view too.
+  void take_closed(const std::vector<ClosedJob>& closed);
   // What this node takes of the budgets, for its peers; and what a peer has said that it takes.
   BudgetUse use() const;
   void peer_use(const std::string& node, const BudgetUse& use);
@@ -123,8 +132,8 @@
   void follow(Ms wait);
   void apply(const codec::StateRow& row, bool announce);
   void apply_commit(const Commit& c, std::uint64_t ledger);
-  void try_commit(std::shared_ptr<Commit> c, int tries, bool doubt);
-  void read_back(std::shared_ptr<Commit> c, int tries);
+  void try_commit(std::shared_ptr<Commit> c, int tries);
+  void read_back(std::shared_ptr<Commit> c, std::uint64_t ledger, int tries);
   void list_from(const std::string& prefix, const std::string& since,
                  std::shared_ptr<std::vector<codec::StateRow>> rows,
                  std::function<void(std::optional<std::vector<codec::StateRow>>)> done);
@@ -135,6 +144,9 @@
   Events events_;
   View view_;
   std::list<std::string> final_order_;
+  // Jobs that ended, as they were learnt; whole for all that ended after `closed_from_`.
+  std::deque<ClosedJob> closed_;
+  std::uint64_t closed_from_ = 0;
   std::uint64_t grant_ = 0;
   Ms alive_until_ = 0, last_extend_ = 0, last_good_ = 0;
   bool granting_ = false, extending_ = false, node_written_ = false, writing_node_ = false;
--- a/src/codec/mesh.capnp
+++ b/src/codec/mesh.capnp
@@ -77,6 +77,7 @@
   number @0 :UInt64;
   lifeMs @1 :Int64;
   parts @2 :List(OwnedPart);
+  ledger @3 :UInt64;              # all changes up to here are in the sender's view
 }
 
 struct OwnedPart {
@@ -87,4 +88,11 @@
 struct Pledge {
   number @0 :UInt64;
   given @1 :Bool;
+  closed @2 :List(ClosedJob);     # all jobs that ended after the asker's ledger, as far as known
+}
+
+struct ClosedJob {
+  job @0 :Text;
+  stamp @1 :UInt64;
+  cancelled @2 :Bool;             # else done
 }
--- a/src/codec/mesh.cc
+++ b/src/codec/mesh.cc
@@ -82,6 +82,7 @@
     auto b = e.initPledgeAsk();
     b.setNumber(m.number);
     b.setLifeMs(m.life);
+    b.setLedger(m.ledger);
     auto list = b.initParts(static_cast<unsigned>(m.parts.size()));
     for (unsigned i = 0; i < m.parts.size(); ++i) {
       list[i].setPart(static_cast<std::uint16_t>(m.parts[i].first));
@@ -92,6 +93,12 @@
     auto b = e.initPledge();
     b.setNumber(m.number);
     b.setGiven(m.given);
+    auto closed = b.initClosed(static_cast<unsigned>(m.closed.size()));
+    for (unsigned i = 0; i < m.closed.size(); ++i) {
+      closed[i].setJob(m.closed[i].id);
+      closed[i].setStamp(m.closed[i].stamp);
+      closed[i].setCancelled(m.closed[i].phase == JobPhase::cancelled);
+    }
   }
 };
 
@@ -122,11 +129,19 @@
 }
 
 PledgeAsk read_pledge_ask(wire::PledgeAsk::Reader r) {
-  PledgeAsk a{r.getNumber(), r.getLifeMs(), {}};
+  PledgeAsk a{r.getNumber(), r.getLifeMs(), {}, r.getLedger()};
   for (auto p : r.getParts()) a.parts.emplace_back(p.getPart(), p.getStamp());
   return a;
 }
 
+Pledge read_pledge(wire::Pledge::Reader r) {
+  Pledge p{r.getNumber(), r.getGiven(), {}};
+  for (auto c : r.getClosed())
+    p.closed.push_back(
+        {c.getJob().cStr(), c.getCancelled() ? JobPhase::cancelled : JobPhase::done, c.getStamp()});
+  return p;
+}
+
 Message read(wire::Envelope::Reader e) {
   Message m;
   m.from = e.getFrom().cStr();
@@ -155,7 +170,7 @@
       m.body = read_pledge_ask(e.getPledgeAsk());
       break;
     case wire::Envelope::PLEDGE:
-      m.body = Pledge{e.getPledge().getNumber(), e.getPledge().getGiven()};
+      m.body = read_pledge(e.getPledge());
       break;
   }
   return m;
--- a/src/codec/mesh.h
+++ b/src/codec/mesh.h
@@ -40,10 +40,12 @@
   std::uint64_t number = 0;
   Ms life = 0;
   std::vector<std::pair<int, std::uint64_t>> parts;  // the sender's, with their stamps
+  std::uint64_t ledger = 0;                          // of the sender's view
 };
 struct Pledge {
   std::uint64_t number = 0;
   bool given = false;
+  std::vector<ClosedJob> closed;  // all that ended after the asker's ledger
 };
 
 using Body = std::variant<Ask, Answer, Status, Move, PledgeAsk, Pledge, Gone, Shed>;
--- a/src/constants.h
+++ b/src/constants.h
@@ -85,6 +85,8 @@
 constexpr Ms kDoneBatchMs = 3000;      // ms; finished tasks of a job are written this often
 constexpr std::uint32_t kDoneChunk = 32768;  // tasks; 4 KiB of bits, 5.5 KiB as base64, under 8 KiB
 constexpr std::size_t kFinalCache = 20000;   // finished jobs remembered; older ones are read again
+constexpr std::size_t kClosedKept = 2000;    // jobs that ended, to be handed over with a pledge;
+                                             // minutes of a busy day, an owner is behind by seconds
 
 // --- users --------------------------------------------------------------------------------
 constexpr std::size_t kBodyMax = 65536;       // bytes; protocol
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -202,28 +202,36 @@
   if (auto it = jobs_.find(id); it != jobs_.end()) it->second->held = true;
 }
 
-void Part::release_job(const std::string& id) {
-  if (auto it = jobs_.find(id); it != jobs_.end()) it->second->held = false;
-}
-
 bool Part::held(const std::string& id) const {
   auto it = jobs_.find(id);
   return it != jobs_.end() && it->second->held;
 }
 
-void Part::close_job(const std::string& id) {
-  auto it = jobs_.find(id);
-  if (it == jobs_.end()) return;
-  Job* j = it->second.get();
-  for (auto& [mid, m] : machines_) {
+void Part::kill_tasks(const std::string& id) {
+  for (auto& [mid, m] : machines_)
     for (auto t = m->tasks.lower_bound({id, 0}); t != m->tasks.end() && t->first.first == id; ++t) {
-      // An orphan keeps its room and its team's share until it is seen to be gone.
-      t->second.job = nullptr;
       t->second.killing = true;
       t->second.grace_s = 0;
       kills_[mid].push_back({Verb::kill, id, t->first.second, t->second.attempt, 0});
     }
-  }
+}
+
+void Part::cancel_job(const std::string& id) {
+  auto it = jobs_.find(id);
+  if (it == jobs_.end() || it->second->cancelling) return;
+  it->second->held = it->second->cancelling = true;
+  kill_tasks(id);
+}
+
+void Part::close_job(const std::string& id) {
+  auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  Job* j = it->second.get();
+  if (!j->cancelling) kill_tasks(id);
+  // An orphan keeps its room and its team's share until it is seen to be gone.
+  for (auto& [mid, m] : machines_)
+    for (auto t = m->tasks.lower_bound({id, 0}); t != m->tasks.end() && t->first.first == id; ++t)
+      t->second.job = nullptr;
   order_.erase(std::find(order_.begin(), order_.end(), j));
   waiting_known_ = false;
   jobs_.erase(it);
@@ -252,7 +260,7 @@
 std::vector<std::string> Part::jobs_to_record() const {
   std::vector<std::string> out;
   for (const Job* j : order_)
-    if (j->unrecorded > 0 || j->done == j->spec.tasks) out.push_back(j->spec.id);
+    if (j->unrecorded > 0 || j->done == j->spec.tasks || j->held) out.push_back(j->spec.id);
   return out;
 }
 
@@ -478,6 +486,7 @@
     } else if (bt == m.tasks.end() && j && j->state[t.index] == State::queued) {
       bind(m, *j, t.index, t.attempt, t.phase);  // found after a takeover
       m.tasks[key].seen = true;
+      m.tasks[key].killing = j->cancelling;
     } else if (bt == m.tasks.end()) {
       // Not ours to run: its job is over, or the task is done. It holds room until it is gone.
       Bound b{nullptr, t.attempt, t.phase, true, 0, 0, 0, -1, false, true, now};
@@ -544,6 +553,14 @@
   return out;
 }
 
+void Part::kill_again(const std::string& id) {
+  auto it = machines_.find(id);
+  if (it == machines_.end()) return;
+  for (const auto& [key, b] : it->second->tasks)
+    if (b.killing && b.grace_s == 0)
+      kills_[id].push_back({Verb::kill, key.first, key.second, b.attempt, 0});
+}
+
 Part::Count Part::count() const {
   Count c;
   for (const Job* j : order_) {
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -81,14 +81,14 @@
   bool has_job(const std::string& id) const { return jobs_.count(id) > 0; }
   std::optional<JobStatus> status(const std::string& id) const;
   std::uint64_t job_stamp(const std::string& id) const;
-  void hold_job(const std::string& id);     // a final commit is on its way: start nothing
-  void release_job(const std::string& id);  // it surely was not done
+  void hold_job(const std::string& id);  // a final commit is on its way: start nothing
   bool held(const std::string& id) const;
-  void close_job(const std::string& id);  // final: what still runs is killed as it is reported
+  void cancel_job(const std::string& id);  // its user has called it off: its tasks are killed
+  void close_job(const std::string& id);   // final: what still runs is killed as it is reported
   // Tasks that ended well and are not recorded yet; `mark_recorded` allows their `clear`.
   std::vector<std::uint32_t> unrecorded(const std::string& id) const;
   void mark_recorded(const std::string& id, const std::vector<std::uint32_t>& tasks);
-  std::vector<std::string> jobs_to_record() const;  // also the complete ones, not final yet
+  std::vector<std::string> jobs_to_record() const;  // also the complete and held, not final yet
   std::vector<std::uint32_t> done_in_chunk(const std::string& id, std::uint32_t chunk) const;
   bool complete(const std::string& id) const;
   std::uint32_t task_count(const std::string& id) const;
@@ -118,6 +118,7 @@
     std::vector<Order> orders;
   };
   std::vector<Kill> take_kills();
+  void kill_again(const std::string& machine);  // nothing tells that it has heard of its kills
   PartNeed need(Ms now) const;
   int index() const { return index_; }
   std::uint64_t term() const { return term_; }
@@ -181,7 +182,7 @@
   struct Job {
     JobSpec spec;
     std::uint64_t stamp = 0;
-    bool older = false, held = false;
+    bool older = false, held = false, cancelling = false;
     int team = -1, image = -1;  // index and number, see `image_number`
     std::vector<State> state;
     std::uint32_t first_queued = 0;  // none below this is queued
@@ -220,6 +221,7 @@
     std::vector<double> with_image;                    // free on those that have it, by image
   };
 
+  void kill_tasks(const std::string& id);
   void release(Machine& m, TaskKey key, bool again);
   void bind(Machine& m, Job& j, std::uint32_t i, std::uint64_t attempt, TaskPhase p);
   void requeue(Job& j, std::uint32_t i);
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -79,6 +79,13 @@
   std::uint32_t done = 0, running = 0;
 };
 
+// A job that is over, and the stamp of its final record.
+struct ClosedJob {
+  std::string id;
+  JobPhase phase = JobPhase::done;
+  std::uint64_t stamp = 0;
+};
+
 // What a node takes of the state service: requests and changes a second.
 struct BudgetUse {
   double requests = 0, changes = 0;
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -109,14 +109,15 @@
   PartNeed need;
   need.waiting_cpus = 3.5;
   need.idle_machines = 2;
-  std::vector<mesh::Body> bodies = {mesh::Ask{7, true, "run-1"},
-                                    mesh::Answer{7, 200, "{}"},
-                                    mesh::Status{{{2, need}}, {1.5, 2}},
-                                    mesh::Move{1, -1, 64, true},
-                                    mesh::Gone{{"m-3"}},
-                                    mesh::Shed{1, 24.0},
-                                    mesh::PledgeAsk{4, 3000, {{1, 77}}},
-                                    mesh::Pledge{4, true}};
+  std::vector<mesh::Body> bodies = {
+      mesh::Ask{7, true, "run-1"},
+      mesh::Answer{7, 200, "{}"},
+      mesh::Status{{{2, need}}, {1.5, 2}},
+      mesh::Move{1, -1, 64, true},
+      mesh::Gone{{"m-3"}},
+      mesh::Shed{1, 24.0},
+      mesh::PledgeAsk{4, 3000, {{1, 77}}, 93},
+      mesh::Pledge{4, true, {{"run-1", JobPhase::cancelled, 95}, {"run-2", JobPhase::done, 96}}}};
   for (const auto& b : bodies) {
     auto m = mesh::decode(mesh::encode({"n0", b}));
     ASSERT_TRUE(m);
--- a/tests/standin/world.cc
+++ b/tests/standin/world.cc
@@ -236,6 +236,7 @@
   };
   schedule(now_ + r.timeout, [finish] { finish({}); });
   const std::string to = r.addr;
+  if (mute_.count(from) > 0) return;
   auto reset = [finish] { finish({}); };
   deliver(
       from, to,
@@ -253,10 +254,12 @@
               if (!p.up) return back({});
               sink()->node = p.name;
               p.node->request(r.method, r.path, r.body,
-                              [this, from, back](int status, std::string body) {
+                              [this, i, from, r, back](int status, std::string body) {
                                 for (auto at = body.find("\"launch\""); at != std::string::npos;
                                      at = body.find("\"launch\"", at + 1))
                                   ++launches_[from];
+                                if (r.path == "/v1/report" && status == 200)
+                                  ++reports_taken_[static_cast<int>(i)];
                                 back({status, body});
                               });
             });
@@ -413,7 +416,23 @@
   return r;
 }
 
-void World::serve_state(const std::string& from, const HttpRequest& r, Done done) {
+// An outage does not end what is on its way: it lands once the state service is back.
+void World::land_late(Ms t, const std::string& body) {
+  schedule(t, [this, t, body] {
+    if (state_down_) return land_late(now_ + 500, body);
+    landed_late_ += state_commit(body).status == 200;
+  });
+}
+
+double World::chance() { return static_cast<double>(random_() % 100000) / 100000; }
+
+void World::serve_state(const std::string& from, const HttpRequest& r, Done answer) {
+  Done done = answer;
+  if (state_slow_ms_ > 0 && !under(r.path, "/follow"))
+    done = [this, answer](HttpReply reply) {
+      schedule(now_ + static_cast<Ms>(chance() * static_cast<double>(state_slow_ms_)),
+               [answer, reply] { answer(reply); });
+    };
   const bool down = state_down_ || refused_.count(from) > 0;
   if (down) return done({503, error("outage")});
   if (r.path == "/commit") {
@@ -429,6 +448,10 @@
     }
     write_tokens_ -= n;
     ++commits_;
+    if (late_.share > 0 && chance() < late_.share) {
+      const double late_s = late_.least_s + (late_.most_s - late_.least_s) * chance();
+      return land_late(now_ + static_cast<Ms>(late_s * 1000), r.body);
+    }
     return done(state_commit(r.body));
   }
   if (r.path == "/grants") {
@@ -585,7 +608,20 @@
 
 void World::freeze_machine(const std::string& id, bool on) {
   note(id + (on ? " hangs" : " goes on"));
-  workers_.at(id)->frozen = on;
+  Worker& w = *workers_.at(id);
+  w.frozen = on;
+  if (on) return;
+  // Beyond its lease it has killed all it had before it reads what came meanwhile.
+  if (w.up && now_ - w.lease_from > static_cast<Ms>(o_.lease_s * 1000)) end_lease(w);
+  for (auto& read : std::exchange(w.unread, {})) read();
+}
+
+void World::mute(const std::string& id, bool on) {
+  note(id + (on ? " reaches no controller" : " reaches controllers again"));
+  if (on)
+    mute_.insert(workers_.at(id)->addr);
+  else
+    mute_.erase(workers_.at(id)->addr);
 }
 
 void World::deafen(const std::string& id, bool on) {
@@ -596,6 +632,11 @@
     deaf_.erase(workers_.at(id)->addr);
 }
 
+std::size_t World::reports_taken(int node) const {
+  auto it = reports_taken_.find(node);
+  return it == reports_taken_.end() ? 0 : it->second;
+}
+
 std::size_t World::launches_to(const std::string& machine) const {
   auto it = launches_.find(workers_.at(machine)->addr);
   return it == launches_.end() ? 0 : it->second;
@@ -779,7 +820,11 @@
 }
 
 void World::serve_worker(Worker& w, const HttpRequest& r, Done done) {
-  if (!w.up || w.frozen) return;  // hangs
+  if (w.up && w.frozen) {
+    w.unread.push_back([this, &w, r, done] { serve_worker(w, r, done); });
+    return;
+  }
+  if (!w.up) return;
   if (r.path == "/inspect") return done({200, report_body(w)});
   Document d;
   d.Parse(r.body.c_str());
@@ -897,14 +942,21 @@
   try_cancel(id, 60);
 }
 
+World::Confirmed World::confirmed(const std::string& id) const {
+  auto it = confirmed_.find(id);
+  return it == confirmed_.end() ? Confirmed{} : it->second;
+}
+
 void World::try_cancel(const std::string& id, int n) {
-  raw(pick_node(), "POST", "/v1/jobs/" + id + "/cancel", "",
-      [this, id, n](int status, const std::string& body) {
+  const int node = pick_node();
+  raw(node, "POST", "/v1/jobs/" + id + "/cancel", "",
+      [this, id, n, node](int status, const std::string& body) {
         if (status == 200) {
           Document d;
           d.Parse(body.c_str());
           checker_.told(now(), id, d["phase"].GetString());
           note("user " + id + " cancel says " + d["phase"].GetString());
+          confirmed_.try_emplace(id, Confirmed{node, now()});
           told_[id] = d["phase"].GetString();
         } else if (n > 0) {
           at(now() + 1, [this, id, n] { try_cancel(id, n - 1); });
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -49,6 +49,12 @@
   void poll_once(int node, const std::string& id, std::function<void(int, std::string)> done);
   // What users have last been told; empty: nothing.
   std::string phase(const std::string& id) const;
+  // The node that first confirmed a cancellation, and when; -1: none has.
+  struct Confirmed {
+    int node = -1;
+    double at = -1;
+  };
+  Confirmed confirmed(const std::string& id) const;
   // One raw request to a node, for answers a user would see.
   void raw(int node, const std::string& method, const std::string& path, const std::string& body,
            std::function<void(int, std::string)> done);
@@ -61,6 +67,13 @@
   void heal();
   void state_outage(bool on);             // 503 for all
   void state_refuses(int node, bool on);  // 503 for one node
+  // That share of the transactions gets no answer and is carried out so much later, also after
+  // newer ones. Soon: only the answer is lost.
+  struct LateWrites {
+    double share = 0, least_s = 2, most_s = 12;
+  };
+  void late_writes(LateWrites w) { late_ = w; }
+  void state_slow(double most_s) { state_slow_ms_ = static_cast<Ms>(most_s * 1000); }
   void cloud_outage(bool on) { cloud_down_ = on; }
   void kill_machine(const std::string& id);  // stops, with all that is on it
   void take_machine(const std::string& id, double notice_s);
@@ -68,6 +81,8 @@
   void set_sick(const std::string& id, bool on);
   // What is sent to it is lost; its own reports arrive.
   void deafen(const std::string& id, bool on);
+  // It reaches no controller; what is sent to it arrives, and is answered.
+  void mute(const std::string& id, bool on);
   // Every report arrives again, after a few seconds and after well over a lease, anywhere.
   void copy_reports(bool on) { copies_ = on; }
   void set_failing(const std::string& job) { failing_jobs_.insert(job); }
@@ -85,6 +100,10 @@
   std::size_t commits() const { return commits_; }
   std::size_t refused_over_limit() const { return over_limit_; }
   std::size_t launches_to(const std::string& machine) const;
+  // Reports that a node has answered with 200.
+  std::size_t reports_taken(int node) const;
+  // Transactions that were carried out late.
+  std::size_t landed_late() const { return landed_late_; }
   // Longest wait of a user for an acceptance, seconds.
   double slowest_acceptance() const { return slowest_acceptance_; }
   const std::set<std::string>& charters() const { return charters_; }
@@ -139,6 +158,7 @@
     Ms next_report = 0, last_sent = -100000, lease_from = 0;
     bool in_flight = false, changed = false;
     std::uint64_t flight = 0;
+    std::vector<std::function<void()>> unread;  // commands that came while it hung
   };
 
   using Done = std::function<void(HttpReply)>;
@@ -151,6 +171,8 @@
   void serve_cloud(const HttpRequest& r, Done done);
   void serve_worker(Worker& w, const HttpRequest& r, Done done);
   HttpReply state_commit(const std::string& body);
+  void land_late(Ms t, const std::string& body);
+  double chance();
   void change(const std::string& key, const std::string* value, std::uint64_t tether);
   void wake_watches();
   HttpReply follow_now(const std::string& prefix, std::uint64_t since) const;
@@ -199,7 +221,12 @@
   std::uint64_t ledger_ = 0, next_grant_ = 0;
   bool state_down_ = false;
   std::set<std::string> refused_;
-  std::set<std::string> deaf_;
+  std::set<std::string> deaf_, mute_;
+  LateWrites late_;
+  Ms state_slow_ms_ = 0;
+  std::size_t landed_late_ = 0;
+  std::map<int, std::size_t> reports_taken_;
+  std::map<std::string, Confirmed> confirmed_;
   bool copies_ = false;
   double write_tokens_ = 0, slowest_acceptance_ = 0;
   Ms refilled_ = 0;
