A team's limit of 0 is none; a claim newer than our view is believed when a pledge is asked

The reason of a refusal is logged. Cause 2: a node that the state service refused alone for longer than a grant has not seen who claimed its part; in the outage that follows it promised nothing, and all leases of the part ended. It now takes the claim from the question when its stamp is newer than all it has seen (an older one may have ended).

--- a/src/actors/desk.cc
+++ b/src/actors/desk.cc
@@ -54,7 +54,10 @@
   if (!v.ready) return refuse(reply, "not ready yet");
   if (v.finals.count(j.id) || v.jobs.count(j.id)) return look_up(j.id, false, std::move(reply));
   if (types_.empty()) return refuse(reply, "the machine types are not known yet");
-  if (auto why = can_never_run(j); !why.empty()) return reply(422, codec::error_body(why));
+  if (auto why = can_never_run(j); !why.empty()) {
+    spdlog::info("job refused job={} team={} why={}", j.id, j.team, why);
+    return reply(422, codec::error_body(why));
+  }
   // Any node may accept: the guards say that nobody has, and that it was never over before.
   Commit c;
   c.nonce = registrar_.nonce();
--- a/src/actors/owner_parts.cc
+++ b/src/actors/owner_parts.cc
@@ -76,6 +76,9 @@
 // With the promise goes every end of a job that the asker's view may lack; a node that has not
 // followed for as long as that cannot know them all, and promises nothing.
 mesh::Pledge Owner::pledge(const std::string& node, const mesh::PledgeAsk& a) {
+  // Guard: a node that the state service refused alone, before the outage, has not seen the claim
+  // of the part that it lost. It promised nothing then, and all leases of the part ended.
+  for (const auto& [part, stamp] : a.parts) registrar_.take_claim(part, node, stamp);
   auto closed = registrar_.closed_since(a.ledger);
   if (!closed || !promises(node, a)) return {a.number, false, {}};
   const Ms until = rt_.now() + static_cast<Ms>(a.life * (1 + k::kDrift));
--- a/src/actors/registrar.cc
+++ b/src/actors/registrar.cc
@@ -371,6 +371,16 @@
   }
 }
 
+void Registrar::take_claim(int part, const std::string& owner, std::uint64_t stamp) {
+  // Guard: an older claim may have ended within our view, and the changes will not tell so again.
+  if (stamp <= view_.ledger) return;
+  codec::StateRow claim;
+  claim.key = codec::part_key(part);
+  claim.stamp = stamp;
+  claim.part = codec::PartRecord{owner, 0};
+  apply(claim, true);
+}
+
 // Rows may come twice and, from our own commits, ahead of their turn: an older stamp changes
 // nothing, and a final job never opens again.
 void Registrar::apply(const codec::StateRow& row, bool announce) {
--- a/src/actors/registrar.h
+++ b/src/actors/registrar.h
@@ -105,6 +105,8 @@
   std::optional<std::vector<ClosedJob>> closed_since(std::uint64_t ledger) const;
   // What a peer knows to be over is over in our view too.
   void take_closed(const std::vector<ClosedJob>& closed);
+  // A peer has claimed a part after all changes that our view has.
+  void take_claim(int part, const std::string& owner, std::uint64_t stamp);
   // What this node takes of the budgets, for its peers; and what a peer has said that it takes.
   BudgetUse use() const;
   void peer_use(const std::string& node, const BudgetUse& use);
--- a/src/actors/settings.cc
+++ b/src/actors/settings.cc
@@ -3,6 +3,8 @@
 #define TOML_EXCEPTIONS 0
 #include <toml++/toml.h>
 
+#include <limits>
+
 namespace eiderreel {
 namespace {
 
@@ -143,6 +145,9 @@
       r.number(*e, path, "cpus_max", 0, 1e7, team.cpus_max);
       r.number(*e, path, "gpus", 0, 1e7, team.gpus);
       r.number(*e, path, "gpus_max", 0, 1e7, team.gpus_max);
+      // Guard: a limit of 0 is none. Taken for a limit it refused every job of guests with 422.
+      for (double* most : {&team.cpus_max, &team.gpus_max})
+        if (*most == 0) *most = std::numeric_limits<double>::infinity();
       if (team.cpus > team.cpus_max) r.problem(path + "cpus", "is above the team's cpus_max");
       if (team.gpus > team.gpus_max) r.problem(path + "gpus", "is above the team's gpus_max");
       for (const auto& other : s.teams)
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -32,7 +32,7 @@
   Ms accepted_at = 0;  // time of day of the acceptance, as its node saw it
 };
 
-struct Team {
+struct Team {  // what it is guaranteed, and what its tasks may use at most (infinite: no limit)
   std::string name;
   double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;
 };
--- a/tests/answers_test.cc
+++ b/tests/answers_test.cc
@@ -153,6 +153,13 @@
   EXPECT_EQ(r.settings.home_of(1), "n1");
 }
 
+TEST(SettingsFile, ALimitOfZeroIsNone) {
+  auto r = load_settings(file_with(with("cpus_max = 20.0", "cpus_max = 0")));
+  EXPECT_TRUE(r.problems.empty());
+  EXPECT_GT(r.settings.teams.at(0).cpus_max, 1e9);
+  EXPECT_GT(r.settings.teams.at(0).gpus_max, 1e9);
+}
+
 TEST(SettingsFile, EveryProblemIsOneLineWithFileAndField) {
   struct Case {
     std::string text, field;
--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -105,6 +105,41 @@
   expect_rules_kept(w);
 }
 
+// The refusal lasts longer than a grant before the outage begins: the part has a new owner, which
+// confirms and goes on through the outage, though the old one has not seen its claim.
+class LongRefusal : public testing::TestWithParam<std::tuple<std::uint64_t, double>> {};
+
+TEST_P(LongRefusal, TheNewOwnerGoesOnThroughTheOutage) {
+  const auto [seed, after] = GetParam();
+  Options o;
+  o.seed = seed;
+  World w(o);
+  w.at(5, [&] {
+    w.submit(w.job("run-1", "blue", 6, 1, 400));
+    w.submit(w.job("run-2", "blue", 4, 1, 400));
+  });
+  w.at(30, [&] { w.state_refuses(1, true); });
+  w.at(30 + after - 0.4, [&] {
+    ASSERT_NE(w.owner_of(1), 1);
+    w.cancel("run-1");
+  });
+  w.at(30 + after, [&] { w.state_outage(true); });
+  w.run_until(30 + after + 52);
+  ASSERT_NE(w.confirmed("run-1").node, -1);
+  EXPECT_LT(w.confirmed("run-1").at, 30 + after);
+  EXPECT_EQ(w.tasks_on("run-1"), 0u);
+  EXPECT_EQ(w.tasks_on("run-2"), 4u);
+  for (const auto& line : w.trace()) EXPECT_EQ(line.find("lease over"), std::string::npos) << line;
+  w.state_outage(false);
+  w.state_refuses(1, false);
+  w.run_until(130);
+  w.checker().troubles_over(90);
+  expect_rules_kept(w);
+}
+
+INSTANTIATE_TEST_SUITE_P(Offsets, LongRefusal,
+                         testing::Combine(testing::Values(1, 2, 3), testing::Values(7.0, 9.5)));
+
 std::vector<Gap> gaps() {
   std::vector<Gap> out;
   const World::LateWrites lost{1, 0.005, 0.01}, late{1, 0.6, 1.6};
