--- a/src/actors/fleet.cc
+++ b/src/actors/fleet.cc
@@ -251,19 +251,26 @@
         "part need part={} waiting={:.0f} used={:.0f} services={:.0f} total={:.0f} idle={}", p,
         n.waiting_cpus, n.used_cpus, n.used_service_cpus, n.total_cpus, n.idle_machines);
   }
-  double coming = 0, coming_spot = 0, boot = 0;
-  for (const auto& [id, r] : rented_)
-    if (const MachineType* t = type(r.type)) {
-      coming += t->cpus;
-      if (r.spot) coming_spot += t->cpus;
+  double coming_cpus = 0, coming_spot = 0, boot = 0;
+  std::vector<Coming> on_their_way = coming();
+  for (const Coming& m : on_their_way) {
+    coming_cpus += m.type->cpus;
+    if (m.spot) coming_spot += m.type->cpus;
+  }
+  // Guard: jobs bound to a zone whose machines were lost waited for ever while idle ones elsewhere
+  // made up for them in the sums.
+  for (const auto& [p, n] : needs)
+    for (const auto& [id, cpus] : n.stranded) {
+      auto j = registrar_.view().jobs.find(id);
+      if (j == registrar_.view().jobs.end()) continue;
+      double stranded = cpus;
+      std::erase_if(on_their_way, [&](const Coming& m) {
+        if (stranded <= 0 || !allowed(j->second.spec, *m.type, m.zone, m.spot)) return false;
+        stranded -= m.type->cpus;
+        return true;
+      });
+      if (stranded > 0) coming_cpus += rent_for(j->second.spec, stranded);
     }
-  // Guard: at a start of the whole service hundreds of machines are up that no part has yet.
-  for (const auto& [id, m] : known_)
-    if (m.listed.phase != "failed" && !rented_.count(id) && !registrar_.view().machines.count(id))
-      if (const MachineType* t = type(m.listed.type)) {
-        coming += t->cpus;
-        if (m.listed.spot) coming_spot += t->cpus;
-      }
   for (const auto& t : types_) boot = std::max(boot, t.boot_s);
   // Where the usual slack before a deadline is long beside a boot time, thrift costs little:
   // enough is rented for the queue to be worked off within a part of the slack. (What is done
@@ -281,11 +288,11 @@
                         std::max(all.waiting_core_s / (queue_s * patience) - all.total_cpus,
                                  all.waiting_service_cpus))
              : all.waiting_cpus;
-  const double lack = asked - all.idle_cpus - coming;
+  const double lack = asked - all.idle_cpus - coming_cpus;
   spdlog::debug(
       "fleet asked={:.0f} waiting={:.0f} work={:.0f} used={:.0f} idle={:.0f} coming={:.0f} "
       "total={:.0f} spot={:.0f} slack={:.1f}",
-      asked, all.waiting_cpus, all.waiting_core_s, all.used_cpus, all.idle_cpus, coming,
+      asked, all.waiting_cpus, all.waiting_core_s, all.used_cpus, all.idle_cpus, coming_cpus,
       all.total_cpus, all.spot_cpus, all.slack_s);
   if (lack <= 0) {
     short_since_ = 0;
@@ -298,7 +305,8 @@
                                       all.spot_cpus - coming_spot
                                 : 0;
   if (lasts || cheaper > 0)
-    rent_cheapest(lasts ? lack : 0, std::max(cheaper, all.waiting_spot_cpus > coming ? lack : 0.0));
+    rent_cheapest(lasts ? lack : 0,
+                  std::max(cheaper, all.waiting_spot_cpus > coming_cpus ? lack : 0.0));
   // Machines idle for long are released while nothing waits, ordinary ones first: they are dearer.
   // Guard: spot ones that dearer machines do the work of would be rented again at once.
   double surplus = all.idle_cpus - all.waiting_cpus;
@@ -325,10 +333,7 @@
   for (const auto& t : types_)
     for (const auto& zone : t.zones)
       for (bool spot : {true, false}) {
-        auto pause = refused_.find(slot(t, zone, spot));
-        if ((spot ? spot_cpus : cpus) <= 0 || renting_.count(slot(t, zone, spot)) ||
-            (pause != refused_.end() && pause->second > rt_.now()))
-          continue;
+        if ((spot ? spot_cpus : cpus) <= 0 || !rentable(t, zone, spot)) continue;
         offers.push_back({&t, zone, spot, (spot ? t.spot_price : t.price) / t.cpus});
       }
   std::stable_sort(offers.begin(), offers.end(),
@@ -352,6 +357,45 @@
   }
 }
 
+// The cheapest core on which this job may run; what is asked for, in CPUs.
+double Fleet::rent_for(const JobSpec& job, double cpus) {
+  const MachineType* best = nullptr;
+  std::string zone;
+  bool spot = false;
+  auto price = [](const MachineType& t, bool s) { return (s ? t.spot_price : t.price) / t.cpus; };
+  for (const auto& t : types_)
+    for (const auto& z : t.zones)
+      for (bool s : {true, false})
+        if (allowed(job, t, z, s) && rentable(t, z, s) &&
+            (!best || price(t, s) < price(*best, spot))) {
+          best = &t;
+          zone = z;
+          spot = s;
+        }
+  if (!best) return 0;
+  const int count = std::clamp(static_cast<int>(std::ceil(cpus / best->cpus)), 1, k::kRentMost);
+  rent(*best, zone, spot, count);
+  return count * best->cpus;
+}
+
+bool Fleet::rentable(const MachineType& t, const std::string& zone, bool spot) const {
+  auto pause = refused_.find(slot(t, zone, spot));
+  return !renting_.count(slot(t, zone, spot)) &&
+         (pause == refused_.end() || pause->second <= rt_.now());
+}
+
+std::vector<Fleet::Coming> Fleet::coming() const {
+  std::vector<Coming> out;
+  for (const auto& [id, r] : rented_)
+    if (const MachineType* t = type(r.type)) out.push_back({t, r.zone, r.spot});
+  // Guard: at a start of the whole service hundreds of machines are up that no part has yet.
+  for (const auto& [id, m] : known_)
+    if (m.listed.phase != "failed" && !rented_.count(id) && !registrar_.view().machines.count(id))
+      if (const MachineType* t = type(m.listed.type))
+        out.push_back({t, m.listed.zone, m.listed.spot});
+  return out;
+}
+
 std::string Fleet::slot(const MachineType& t, const std::string& zone, bool spot) {
   return t.name + "/" + zone + (spot ? "/spot" : "/");
 }
--- a/src/actors/fleet.h
+++ b/src/actors/fleet.h
@@ -42,6 +42,12 @@
   struct Deal {  // what a part has and asks for; index 0: ordinary machines, 1: all
     double weight = 0, cpus[2] = {0, 0}, asked[2] = {0, 0};
   };
+  struct Coming {  // a machine that is rented and not in use yet
+    const MachineType* type = nullptr;
+    std::string zone;
+    bool spot = false;
+  };
+  std::vector<Coming> coming() const;
   struct Rented {  // ours, not listed or not up yet
     std::string type, zone;
     bool spot = false;
@@ -54,6 +60,8 @@
   void balance();
   void scale();
   void rent_cheapest(double cpus, double spot_cpus);
+  double rent_for(const JobSpec& job, double cpus);
+  bool rentable(const MachineType& t, const std::string& zone, bool spot) const;
   static std::string slot(const MachineType& t, const std::string& zone, bool spot);
   void rent(const MachineType& t, const std::string& zone, bool spot, int count);
   void send_charter(const MachineType& t, const std::string& zone, bool spot, int count,
--- a/src/codec/mesh.capnp
+++ b/src/codec/mesh.capnp
@@ -55,6 +55,12 @@
   idleMachines @13 :UInt32;
   spotCpus @14 :Float64;
   waitS @15 :Float64;
+  stranded @16 :List(Stranded);   # jobs bound to a place that has too little room for them
+}
+
+struct Stranded {
+  job @0 :Text;
+  cpus @1 :Float64;
 }
 
 struct Move {                     # the leader's advice: give idle machines to another part
--- a/src/codec/mesh.cc
+++ b/src/codec/mesh.cc
@@ -61,6 +61,11 @@
       b.setRestedSpotCpus(n.rested_spot_cpus);
       b.setIdleMachines(n.idle_machines);
       b.setSpotCpus(n.spot_cpus);
+      auto stranded = b.initStranded(static_cast<unsigned>(n.stranded.size()));
+      for (unsigned s = 0; s < n.stranded.size(); ++s) {
+        stranded[s].setJob(n.stranded[s].first);
+        stranded[s].setCpus(n.stranded[s].second);
+      }
     }
   }
   void operator()(const Move& m) {
@@ -123,6 +128,7 @@
     n.rested_spot_cpus = b.getRestedSpotCpus();
     n.idle_machines = b.getIdleMachines();
     n.spot_cpus = b.getSpotCpus();
+    for (auto st : b.getStranded()) n.stranded.emplace_back(st.getJob().cStr(), st.getCpus());
     s.parts.emplace_back(b.getPart(), std::move(n));
   }
   return s;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -49,6 +49,9 @@
   // go back; ordinary and spot ones. Never by name: a part may have hundreds.
   double idle_cpus = 0, idle_spot_cpus = 0, rested_cpus = 0, rested_spot_cpus = 0;
   std::uint32_t idle_machines = 0;
+  // Jobs bound to a zone or to types, and the CPUs that they lack there; room elsewhere is of no
+  // use to them. The first few in the order of the queue.
+  std::vector<std::pair<std::string, double>> stranded;
 };
 
 class Part {
@@ -247,6 +250,7 @@
   bool thrift() const;
   Ms keep_ms() const;
   double waiting_cpus() const;
+  double stranded_cpus(const Job& j, Ms now) const;
   void reorder(Ms now);
   int image_number(const std::string& image);
   void forget_images();
--- a/src/core/queue.cc
+++ b/src/core/queue.cc
@@ -1,4 +1,6 @@
 // The queue of a part: in which order its jobs are served, and which of them wait.
+#include <cmath>
+
 #include "core/part.h"
 
 namespace eiderreel {
@@ -126,6 +128,18 @@
   return sum;
 }
 
+// What a job that is bound to a zone or to types waits for beyond the room on machines that fit.
+double Part::stranded_cpus(const Job& j, Ms now) const {
+  if ((j.spec.zone.empty() && j.spec.types.empty()) ||
+      now - j.waiting_since < constants::kStrandedAfterMs)
+    return 0;
+  double lack = j.queued * j.spec.cpus;
+  for (const auto& [id, m] : machines_)
+    if (lack > 0 && takes_work(*m, now) && allowed(j.spec, *m->type, m->zone, m->spot))
+      lack -= std::floor((m->type->cpus - m->cpus) / j.spec.cpus) * j.spec.cpus;
+  return std::max(0.0, lack);
+}
+
 PartNeed Part::need(Ms now) const {
   PartNeed n;
   std::vector<double> room(teams_.size());
@@ -142,6 +156,9 @@
     if (j->spec.spot) n.waiting_spot_cpus += want;
     if (j->spec.kind == Kind::service) n.waiting_service_cpus += want;
     n.waiting_core_s += j->queued * j->spec.cpus * j->spec.estimate_s;
+    if (n.stranded.size() < constants::kStrandedMost)
+      if (const double lack = std::min(want, stranded_cpus(*j, now)); lack > 0)
+        n.stranded.emplace_back(j->spec.id, lack);
   }
   for (const auto& [id, m] : machines_) {
     if (m->gone || !m->reported || !m->type || m->leaving) continue;
--- a/tests/checker_test.cc
+++ b/tests/checker_test.cc
@@ -152,6 +152,52 @@
   expect("forgotten");
 }
 
+// Once the troubles are over, a job that waits for 90 s beside room for it is left waiting.
+TEST_F(CheckerTest, LeftWaitingBesideRoom) {
+  accepted(spec("run-1"));
+  accepted(spec("run-2"));
+  c.troubles_over(10);
+  for (int t = 0; t <= 100; ++t) {
+    c.could_run(t, "run-1", true);
+    c.could_run(t, "run-2", t != 50);
+  }
+  EXPECT_TRUE(c.broken().empty());
+  c.could_run(101, "run-2", true);
+  c.could_run(101, "run-1", true);
+  expect("left_waiting");
+}
+
+TEST_F(CheckerTest, AcceptedThoughItCannotRun) {
+  c.odd_answer(1, "no such type", 422);
+  c.odd_answer(1, "no such type", 503);
+  EXPECT_TRUE(c.broken().empty());
+  c.odd_answer(1, "no such type", 201);
+  expect("accepted");
+}
+
+TEST_F(CheckerTest, StartsAfterAConfirmedCancellationAreCounted) {
+  accepted(spec("run-1"));
+  c.task_on(1, kHere, "run-1", 0);
+  c.cancel_asked("run-1");
+  c.told(2, "run-1", "cancelled");
+  EXPECT_EQ(c.starts_after_cancel(), 0u);
+  c.task_on(3, kThere, "run-1", 1);
+  EXPECT_EQ(c.starts_after_cancel(), 1u);
+}
+
+// A task that hung and goes on is on its machine all the time.
+TEST_F(CheckerTest, RanCancelledAfterAHang) {
+  accepted(spec("run-1"));
+  c.task_on(1, kHere, "run-1", 0);
+  c.cancel_asked("run-1");
+  c.told(2, "run-1", "cancelled");
+  c.task_off("m-1", "run-1", 0);  // the lease ends it
+  c.look(43);
+  EXPECT_TRUE(c.broken().empty());
+  c.task_on(44, kHere, "run-1", 0);
+  expect("ran_cancelled");
+}
+
 TEST_F(CheckerTest, StarvedWhenItBeginsTooLate) {
   accepted(spec("run-1"));
   c.task_on(241, kHere, "run-1", 0);
--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -153,4 +153,376 @@
 
 INSTANTIATE_TEST_SUITE_P(Offsets, GapTest, testing::ValuesIn(gaps()));
 
+// -------------------------------------------------------------------- the other meetings
+// Each case is a day in the world: a load, its troubles, and what shows that they met. The troubles
+// are over at `over`; from then on every rule holds.
+
+struct Load {
+  std::vector<std::string> end;  // arrays that must be done at the end
+  std::vector<std::string> run;  // services that must run
+  std::vector<std::string> off;  // called off
+};
+
+struct Meeting {
+  const char* name;
+  double over;
+  std::function<void(World&, Load&)> script;
+  std::function<void(World&)> reached;
+};
+
+JobSpec service(World& w, const std::string& id, const std::string& team, double cpus) {
+  JobSpec s = w.job(id, team, 1, cpus);
+  s.kind = Kind::service;
+  s.rank = Rank::production;
+  s.spot = false;
+  return s;
+}
+
+// A service, a short and a long array of each team.
+void usual(World& w, Load& load, double t = 5) {
+  int n = 100;
+  for (const char* team : {"red", "blue", "gold"}) {
+    const std::string a = "run-" + std::to_string(++n), b = "run-" + std::to_string(++n),
+                      c = "run-" + std::to_string(++n);
+    w.at(t, [&w, a, b, c, team] {
+      w.submit(service(w, a, team, 2));
+      w.submit(w.job(b, team, 8, 1, 8));
+      w.submit(w.job(c, team, 3, 1, 60));
+    });
+    load.run.push_back(a);
+    load.end.insert(load.end.end(), {b, c});
+  }
+}
+
+std::string machine(int n) {
+  std::string digits = std::to_string(n);
+  return "m-" + std::string(6 - digits.size(), '0') + digits;
+}
+
+std::set<std::string> workers(int first, int step, int most = 40) {
+  std::set<std::string> out;
+  for (int i = first; i < most; i += step) out.insert("w-" + machine(i));
+  return out;
+}
+
+const std::vector<Meeting>& meetings() {
+  static const std::vector<Meeting> all = {
+      {"JobsOfOneZoneLoseItsMachines", 12,
+       [](World& w, Load& load) {
+         w.at(5, [&w] {
+           JobSpec bound = w.job("run-1", "blue", 4, 1, 12);
+           bound.zone = "a";
+           JobSpec together = w.job("run-2", "gold", 4, 1, 12);
+           together.one_zone = true;
+           w.submit(bound);
+           w.submit(together);
+         });
+         load.end = {"run-1", "run-2"};
+         w.at(10, [&w] {
+           for (int i = 0; i < 6; i += 2) w.kill_machine(machine(i));
+         });
+         w.at(11.9, [&w] { EXPECT_EQ(w.tasks_on("run-1"), 0u); });
+       },
+       [](World& w) { EXPECT_EQ(w.lines("is dead"), 3u); }},
+      {"JobsOfOneZoneLoseItsMachinesWhileOthersAreKeptIdle", 12,
+       [](World& w, Load& load) {
+         load.end = {"run-1", "run-2", "run-3"};
+         w.at(5, [&w] {
+           for (int i = 1; i <= 3; ++i) {
+             JobSpec bound = w.job("run-" + std::to_string(i), i % 2 ? "blue" : "gold", 4, 1, 12);
+             bound.zone = "a";
+             bound.deadline_s = 14;  // no slack: idle machines are kept for minutes
+             w.submit(bound);
+           }
+         });
+         w.at(10, [&w] {
+           for (int i = 0; i < 6; i += 2) w.kill_machine(machine(i));
+         });
+       },
+       [](World& w) {
+         EXPECT_EQ(w.lines("is dead"), 3u);
+         EXPECT_EQ(w.lines("machine returned machine=m-000001"), 0u);
+       }},
+      {"AllAreAwayForLongerThanALease", 31,
+       [](World& w, Load& load) {
+         usual(w, load);
+         w.at(12, [&w] {
+           for (int i = 0; i < 3; ++i) w.crash(i, 15 + i);
+         });
+       },
+       [](World& w) { EXPECT_GE(w.lines("lease over"), 3u); }},
+      {"LeadersChangeTenTimesInTwoMinutesAlsoInAnOutage", 135,
+       [](World& w, Load& load) {
+         usual(w, load);
+         for (int i = 0; i < 12; ++i)
+           w.at(12 + 9.7 * i, [&w, i] {
+             if (const int owner = w.owner_of(0); owner >= 0) w.crash(owner, i % 3 ? 4 : 0.3);
+           });
+         w.at(60, [&w] { w.state_outage(true); });
+         w.at(75, [&w] { w.state_outage(false); });
+       },
+       [](World& w) {
+         EXPECT_GE(w.lines("part claimed part=0"), 10u);
+         EXPECT_GE(w.lines("crashes"), 10u);
+       }},
+      {"OldReportsOfEarlierSessionsArriveAfterNewerOnes", 60,
+       [](World& w, Load& load) {
+         usual(w, load);
+         w.copy_reports(true);
+         w.at(10, [&w] {
+           for (int i = 0; i < 3; ++i) w.freeze_machine(machine(i), true);
+         });
+         w.at(23, [&w] {
+           for (int i = 0; i < 3; ++i) w.freeze_machine(machine(i), false);
+         });
+         w.at(26, [&w] { w.crash(1); });
+         w.at(45, [&w] { w.crash(0, 0.2); });
+         w.at(60, [&w] { w.copy_reports(false); });
+       },
+       [](World& w) {
+         EXPECT_GT(w.copies(), 200u);
+         EXPECT_GE(w.tenure_of(machine(0)), 2u);
+       }},
+      {"HandedOverAndBackThenAllEndAndOneReturns", 50,
+       [](World& w, Load& load) {
+         usual(w, load);
+         w.at(10, [&w] { w.crash(1, 6); });
+         for (double t = 16; t < 30; t += 0.05)
+           w.at(t, [&w] {
+             if (w.lines("world all end") || w.lines("reason=handed-back") < 3) return;
+             w.note("world all end");
+             for (int i : {1, 2}) w.crash(i, 20);
+             w.crash(0, 0.4);
+           });
+       },
+       [](World& w) { EXPECT_EQ(w.lines("world all end"), 1u); }},
+      {"TheStateServiceIsSlowWhileUsersCancelAndAsk", 50,
+       [](World& w, Load& load) {
+         usual(w, load);
+         w.at(10, [&w] { w.state_slow(2.2); });
+         for (double t = 10; t < 40; t += 3)
+           w.at(t, [&w, t] {
+             const std::string id = "run-" + std::to_string(static_cast<int>(t));
+             w.submit(w.job(id, "blue", 2, 1, 200));
+             w.at(t + 6, [&w, id] { w.cancel(id); });
+           });
+         for (int t = 10; t < 40; t += 3) load.off.push_back("run-" + std::to_string(t));
+         w.at(50, [&w] { w.state_slow(0); });
+       },
+       [](World& w) { EXPECT_GE(w.lines("cancel says cancelled"), 10u); }},
+      {"CancelledAsTheLeaderIsRefusedAndThenAll", 90,
+       [](World& w, Load& load) {
+         usual(w, load);
+         load.off = {"run-1", "run-2"};
+         w.at(6, [&w] {
+           for (const char* id : {"run-1", "run-2"}) w.submit(w.job(id, "blue", 4, 1, 400));
+         });
+         w.at(30, [&w] {
+           w.cancel("run-1");
+           w.state_refuses(1, true);
+           w.cancel("run-2");
+         });
+         w.at(31, [&w] { w.state_outage(true); });
+         w.at(84, [&w] {
+           w.state_outage(false);
+           w.state_refuses(1, false);
+         });
+       },
+       [](World& w) { EXPECT_GE(w.confirmed("run-2").node, 0); }},
+      {"AReportIsHeldUntilItsAddresseeLeads", 40,
+       [](World& w, Load& load) {
+         usual(w, load);
+         // The workers of n1's part cannot get through to n0, which will lead them.
+         w.at(9.6, [&w] { w.cut(workers(0, 1), {"n0"}, CutMode::hold); });
+         w.at(10, [&w] { w.crash(1, 25); });
+         w.at(19, [&w] {
+           EXPECT_GE(w.held(), 6u);
+           EXPECT_NE(w.owner_of(1), 1);
+           w.heal();
+         });
+       },
+       [](World& w) { EXPECT_EQ(w.lines("world healed"), 1u); }},
+      {"AZoneWithAControllerIsCutOff", 26,
+       [](World& w, Load& load) {
+         usual(w, load);
+         w.at(10, [&w] {
+           std::set<std::string> zone = workers(1, 2), rest = workers(0, 2);
+           zone.insert("n1");
+           rest.insert({"n0", "n2", "state", "cloud", "user"});
+           w.cut(zone, rest, CutMode::hold);
+         });
+         w.at(14, [&w] { w.cancel("run-106"); });
+         load.off.push_back("run-106");
+         load.end.erase(std::find(load.end.begin(), load.end.end(), "run-106"));
+         w.at(26, [&w] { w.heal(); });
+       },
+       [](World& w) { EXPECT_GE(w.lines("lease over"), 1u); }},
+      {"JobsOfThreeTasksEndFarApartAcrossLeaders", 60,
+       [](World& w, Load& load) {
+         w.at(5, [&w] {
+           for (int i = 0; i < 6; ++i) {
+             const std::string id = "run-" + std::to_string(i);
+             w.set_run_s(id, {2.0 + i, 20.0 + i, 42.0 + i});
+             w.submit(w.job(id, i % 2 ? "blue" : "gold", 3, 1, 20));
+           }
+         });
+         for (int i = 0; i < 6; ++i) load.end.push_back("run-" + std::to_string(i));
+         w.at(14, [&w] { w.crash(1); });
+         w.at(33, [&w] {
+           for (int i = 0; i < 3; ++i) w.crash(i, 2 + i);
+         });
+         w.at(50, [&w] { w.crash(2, 0.2); });
+       },
+       // What was done once is not done again.
+       [](World& w) { EXPECT_EQ(w.checker().starts(), 18u); }},
+      {"ALeaderEndsWhileMachinesCannotBeReached", 40,
+       [](World& w, Load& load) {
+         usual(w, load);
+         w.at(12, [&w] { w.cut(workers(0, 2, 6), {World::all()}, CutMode::hold); });
+         w.at(12.4, [&w] { w.crash(1, 12); });
+         w.at(20.4, [&w] { w.heal(); });  // within their lease
+       },
+       [](World& w) {
+         EXPECT_GE(w.lines("part claimed part=1"), 2u);
+         EXPECT_EQ(w.lines("world healed"), 1u);
+       }},
+      {"ALeaderEndsAndMachinesDoNotHearTheNextOne", 45,
+       [](World& w, Load& load) {
+         usual(w, load);
+         w.at(12, [&w] { w.crash(1, 20); });
+         w.at(12.5, [&w] {
+           for (int i = 0; i < 4; ++i) w.deafen(machine(i), true);
+         });
+         w.at(34, [&w] {
+           for (int i = 0; i < 4; ++i) w.deafen(machine(i), false);
+         });
+       },
+       [](World& w) { EXPECT_GE(w.tenure_of(machine(0)), 2u); }},
+      {"ACommandIsHeldUpAndTheMachineGoesOn", 40,
+       [](World& w, Load& load) {
+         usual(w, load);
+         load.off = {"run-1"};
+         w.at(6, [&w] { w.submit(w.job("run-1", "blue", 6, 1, 400)); });
+         w.at(15, [&w] {
+           ASSERT_EQ(w.tasks_on("run-1"), 6u);
+           for (const auto& id : w.machines_of("run-1")) w.freeze_machine(id, true);
+           w.cancel("run-1");
+         });
+         w.at(22, [&w] {
+           ASSERT_EQ(w.confirmed("run-1").node >= 0, true);
+           ASSERT_EQ(w.tasks_on("run-1"), 6u);  // they hang, with their tasks
+           for (int i = 0; i < 6; ++i) w.freeze_machine(machine(i), false);
+         });
+         w.at(24, [&w] { EXPECT_EQ(w.tasks_on("run-1"), 0u); });
+       },
+       [](World& w) { EXPECT_GE(w.lines("goes on"), 1u); }},
+      {"MachinesReachNoControllerButHearCommands", 45,
+       [](World& w, Load& load) {
+         usual(w, load);
+         load.off = {"run-1"};
+         w.at(6, [&w] { w.submit(w.job("run-1", "blue", 6, 1, 400)); });
+         w.at(15, [&w] {
+           for (int i = 0; i < 6; ++i) w.mute(machine(i), true);
+         });
+         w.at(16, [&w] { w.cancel("run-1"); });
+         // Long before a lease ends: commands reach them.
+         w.at(18, [&w] { EXPECT_EQ(w.tasks_on("run-1"), 0u); });
+         w.at(35, [&w] {
+           for (int i = 0; i < 6; ++i) w.mute(machine(i), false);
+         });
+       },
+       [](World& w) { EXPECT_GE(w.tenure_of(machine(0)), 2u); }},
+      {"ATeamAtItsLimitChangesLeaderAndSomeMachinesCannotBeAsked", 45,
+       [](World& w, Load& load) {
+         load.off = {"run-1"};
+         load.end = {"run-2", "run-3"};
+         w.at(5, [&w] {
+           w.submit(w.job("run-1", "blue", 24, 1, 300));
+           w.submit(w.job("run-2", "blue", 24, 1, 20));
+         });
+         w.at(8, [&w] { w.submit(w.job("run-3", "blue", 30, 1, 6)); });
+         w.at(28, [&w] {
+           ASSERT_EQ(w.tasks_on("run-1"), 24u);
+           // The odd ones are silent for a while, within their lease.
+           w.cut(workers(1, 2), {World::all()}, CutMode::hold);
+         });
+         w.at(28.3, [&w] { w.crash(1, 30); });
+         w.at(29, [&w] { w.cancel("run-1"); });
+         w.at(36.5, [&w] { w.heal(); });
+       },
+       [](World& w) {
+         EXPECT_GE(w.confirmed("run-1").node, 0);
+         EXPECT_GE(w.lines("part claimed part=1"), 2u);
+       }},
+      {"TransactionsAreCarriedOutLateAfterNewerOnes", 90,
+       [](World& w, Load& load) {
+         usual(w, load);
+         w.at(6, [&w] { w.late_writes({0.35, 0.5, 12}); });
+         for (int i = 1; i <= 12; ++i) {
+           const std::string id = "run-" + std::to_string(i);
+           w.at(6 + 4 * i, [&w, id, i] { w.submit(w.job(id, i % 2 ? "red" : "blue", 4, 1, 5)); });
+           if (i % 3) {
+             load.end.push_back(id);
+           } else {
+             load.off.push_back(id);
+             w.at(9 + 4 * i, [&w, id] { w.cancel(id); });
+           }
+         }
+         for (int i = 0; i < 5; ++i)
+           w.at(15 + 13 * i, [&w, i] { w.crash(i % 3, i % 2 ? 0.2 : 4); });
+         w.at(80, [&w] { w.late_writes({}); });
+       },
+       [](World& w) { EXPECT_GE(w.landed_late(), 6u); }},
+      {"ALeaderHasItsWorkersAndUsersAlone", 40,
+       [](World& w, Load& load) {
+         usual(w, load);
+         load.off = {"run-1"};
+         w.at(6, [&w] { w.submit(w.job("run-1", "blue", 6, 1, 400)); });
+         w.at(14, [&w] { w.cut({"n1"}, {"state", "n0", "n2", "cloud"}, CutMode::reset); });
+         w.at(20, [&w] {
+           ASSERT_NE(w.owner_of(1), 1);
+           w.cancel("run-1");
+         });
+         w.at(35, [&w] { w.heal(); });
+       },
+       [](World& w) {
+         EXPECT_GE(w.confirmed("run-1").node, 0);
+         EXPECT_NE(w.confirmed("run-1").node, 1);
+       }},
+  };
+  return all;
+}
+
+class MeetingTest : public testing::TestWithParam<std::tuple<std::size_t, std::uint64_t>> {};
+
+TEST_P(MeetingTest, KeepsTheRules) {
+  const auto [index, seed] = GetParam();
+  const Meeting& m = meetings()[index];
+  Options o;
+  o.seed = seed;
+  World w(o);
+  Load load;
+  m.script(w, load);
+  w.at(m.over, [&] { w.troubles_over(); });
+  w.run_until(m.over + 130);
+  m.reached(w);
+  w.checker().day_over(w.now());
+  expect_rules_kept(w);
+  for (const auto& id : load.end) EXPECT_EQ(w.phase(id), "done") << id;
+  for (const auto& id : load.run) EXPECT_EQ(w.tasks_on(id), 1u) << id;
+  for (const auto& id : load.off) {
+    EXPECT_EQ(w.phase(id), "cancelled") << id;
+    EXPECT_EQ(w.tasks_on(id), 0u) << id;
+  }
+  EXPECT_EQ(w.checker().starts_after_cancel(), 0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Days, MeetingTest,
+                         testing::Combine(testing::Range<std::size_t>(0, meetings().size()),
+                                          testing::Values(1, 2, 3)),
+                         [](const auto& i) {
+                           return std::string(meetings()[std::get<0>(i.param)].name) + "Seed" +
+                                  std::to_string(std::get<1>(i.param));
+                         });
+
 }  // namespace
--- a/tests/standin/checker.cc
+++ b/tests/standin/checker.cc
@@ -4,6 +4,7 @@
 
 namespace {
 constexpr double kForgottenS = 75;     // without any answer, once all troubles are over
+constexpr double kLeftS = 90;          // beside room, once all troubles are over
 constexpr double kBeginsS = 240;       // every job begins in four minutes, the largest too
 constexpr double kLargestShare = 0.2;  // of a class's jobs, by their tasks
 }  // namespace
@@ -21,6 +22,10 @@
   if (j.accepted && (status == 400 || status == 422)) broke(t, "forgotten", id + " is refused");
 }
 
+void Checker::odd_answer(double t, const std::string& what, int status) {
+  if (status == 200 || status == 201) broke(t, "accepted", what);
+}
+
 void Checker::told(double t, const std::string& id, const std::string& phase) {
   auto it = jobs_.find(id);
   if (phase.empty()) {
@@ -59,6 +64,7 @@
       if (place.zone == p.zone) ++here;
     }
   if (s.spread && here > (s.tasks + 1) / 2) broke(t, "wrong_place", name + " not apart");
+  if (j.cancelled_at >= 0) ++starts_after_cancel_;
   if (j.cancelled_at >= 0 && t > j.cancelled_at + cancel_s_)
     broke(t, "ran_cancelled", name + " starts");
   j.on[index][p.machine] = p;
@@ -83,6 +89,18 @@
     j.unanswered_since = t;
 }
 
+void Checker::could_run(double t, const std::string& id, bool could) {
+  Job& j = jobs_[id];
+  if (!could || over_at_ < 0 || !j.accepted || j.cancel_asked) {
+    j.could_run_since = -1;
+    return;
+  }
+  if (j.could_run_since < 0) j.could_run_since = std::max(t, over_at_);
+  if (t - j.could_run_since <= kLeftS) return;
+  broke(t, "left_waiting", id);
+  j.could_run_since = t + 1e9;  // told once
+}
+
 void Checker::day_over(double t) {
   struct Count {
     std::size_t jobs = 0, served = 0;
--- a/tests/standin/checker.h
+++ b/tests/standin/checker.h
@@ -18,6 +18,8 @@
   // --- what users do and hear ---
   void submitted(const JobSpec& spec) { jobs_[spec.id].spec = spec; }
   void submit_answer(double t, const std::string& id, int status);
+  // A submission that must not be accepted: it can never run, or lacks a field.
+  void odd_answer(double t, const std::string& what, int status);
   void cancel_asked(const std::string& id) { jobs_[id].cancel_asked = true; }
   // `phase` empty: 404.
   void told(double t, const std::string& id, const std::string& phase);
@@ -25,6 +27,9 @@
   void asked(double t, const std::string& id, bool answered);
   // From now on every job must be answered for.
   void troubles_over(double t) { over_at_ = t; }
+  // Whether a machine that fits has room for a waiting task of the job, and its team is under its
+  // limit; to be told now and then.
+  void could_run(double t, const std::string& id, bool could);
   // The end of the day: of each class, each team and each class's largest jobs half is served.
   void day_over(double t);
 
@@ -39,6 +44,8 @@
 
   const std::vector<std::string>& broken() const { return broken_; }
   std::size_t starts() const { return starts_; }
+  // Starts of tasks whose user had been told that the job is cancelled.
+  std::size_t starts_after_cancel() const { return starts_after_cancel_; }
 
  private:
   struct Job {
@@ -46,6 +53,7 @@
     bool accepted = false, cancel_asked = false;
     std::string final_phase;
     double cancelled_at = -1, accepted_at = -1, begun_at = -1;
+    double could_run_since = -1;
     double unanswered_since = -1;  // the first question without an answer after the last answer
     std::set<std::uint32_t> done;
     std::map<std::uint32_t, std::map<std::string, Place>> on;  // task -> machines
@@ -57,7 +65,7 @@
   std::map<std::string, Job> jobs_;
   std::map<std::string, double> team_cpus_;
   std::vector<std::string> broken_;
-  std::size_t starts_ = 0;
+  std::size_t starts_ = 0, starts_after_cancel_ = 0;
   double over_at_ = -1;
 
  public:
--- a/tests/standin/world.cc
+++ b/tests/standin/world.cc
@@ -157,6 +157,7 @@
   for (std::size_t i = 0; i < procs_.size(); ++i)
     schedule(static_cast<Ms>(10 + 10 * i), [this, i] { start_node(i); });
   schedule(kStep, [this] { tick_workers(); });
+  schedule(1000, [this] { look_for_room(); });
 }
 
 World::~World() {
@@ -193,7 +194,15 @@
   now_ = end;
 }
 
-Ms World::latency() { return 1 + static_cast<Ms>(random_() % 4); }
+Ms World::latency() {
+  return 1 + static_cast<Ms>(random_() % static_cast<std::uint64_t>(o_.latency_ms));
+}
+
+std::size_t World::lines(const std::string& text) const {
+  return static_cast<std::size_t>(
+      std::count_if(trace_.begin(), trace_.end(),
+                    [&](const std::string& line) { return line.find(text) != std::string::npos; }));
+}
 
 const CutMode* World::cut_between(const std::string& a, const std::string& b) const {
   auto in = [](const std::set<std::string>& s, const std::string& n) {
@@ -661,6 +670,39 @@
   w.changed = true;
 }
 
+void World::troubles_over() { checker_.troubles_over(now()); }
+
+// Which jobs wait though a machine of any part has room for their next task.
+void World::look_for_room() {
+  schedule(now_ + 1000, [this] { look_for_room(); });
+  std::map<std::string, double> team_cpus;
+  std::map<std::string, std::size_t> begun;
+  for (const auto& [id, w] : workers_)
+    for (const auto& [key, t] : w->tasks) {
+      if (t.phase != "exited") team_cpus[specs_[key.first].team] += specs_[key.first].cpus;
+      ++begun[key.first];
+    }
+  for (const auto& [id, s] : specs_) {
+    const std::string told = phase(id);
+    bool could = false;
+    double most = 0;
+    for (const auto& team : o_.teams)
+      if (team.name == s.team) most = team.cpus_max;
+    if ((told == "queued" || told == "running") && !failing_jobs_.count(id) && begun[id] == 0 &&
+        team_cpus[s.team] + s.cpus <= most)
+      for (const auto& [name, w] : workers_) {
+        if (!w->up || w->frozen || w->sick || w->taken_at >= 0 || (w->spot && !s.spot) ||
+            (!s.zone.empty() && s.zone != w->zone))
+          continue;
+        double used = 0;
+        for (const auto& [key, t] : w->tasks)
+          if (t.phase != "exited") used += specs_[key.first].cpus;
+        could |= used + s.cpus <= kCpus + 1e-9;
+      }
+    checker_.could_run(now(), id, could);
+  }
+}
+
 void World::tick_workers() {
   schedule(now_ + kStep, [this] { tick_workers(); });
   end_grants();
@@ -694,6 +736,7 @@
         t.phase = "running";
         t.left_s = w.sick || failing_jobs_.count(key.first) ? 0.3
                    : s.kind == Kind::service                ? 1e9
+                   : runs_.count(key.first)                 ? runs_[key.first].at(key.second)
                                                             : run_s_[key.first];
         note(w.id + " runs " + key.first + "/" + std::to_string(key.second));
         checker_.task_on(now(), {w.id, "box", w.zone, w.spot}, key.first, key.second);
@@ -742,6 +785,7 @@
   if (copies_)
     for (const double late_s : {2.0, o_.lease_s * 2.5})
       schedule(now_ + static_cast<Ms>(late_s * 1000), [this, body] {
+        ++copies_sent_;
         call("copy", {"n" + std::to_string(pick_node()), "POST", "/v1/report", body, 4000},
              [](HttpReply) {});
       });
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -27,6 +27,7 @@
   int machines = 6;  // of 8 CPUs, up from the start
   int capacity = 4;  // further ones for rent, of each kind in each zone
   double boot_s = 6;
+  double latency_ms = 4;             // of a message, at most
   bool limits = false;               // whether the state service refuses above its rates
   std::size_t changes_kept = 10000;  // by the state service, for followers
 };
@@ -44,6 +45,8 @@
   // --- users ---
   JobSpec job(const std::string& id, const std::string& team, std::uint32_t tasks, double cpus = 1,
               double run_s = 5);
+  // How long each of its tasks runs, where they differ.
+  void set_run_s(const std::string& id, std::vector<double> run_s) { runs_[id] = std::move(run_s); }
   void submit(const JobSpec& spec);
   void cancel(const std::string& id);
   void poll_once(int node, const std::string& id, std::function<void(int, std::string)> done);
@@ -102,12 +105,20 @@
   std::size_t launches_to(const std::string& machine) const;
   // Reports that a node has answered with 200.
   std::size_t reports_taken(int node) const;
+  // Whether it is up and has a lease, and how often its lease has ended.
+  std::uint64_t tenure_of(const std::string& machine) const { return workers_.at(machine)->tenure; }
+  std::size_t held() const { return held_.size(); }  // messages of a cut
+  std::size_t copies() const { return copies_sent_; }
+  // Lines of the trace that hold this text.
+  std::size_t lines(const std::string& text) const;
   // Transactions that were carried out late.
   std::size_t landed_late() const { return landed_late_; }
   // Longest wait of a user for an acceptance, seconds.
   double slowest_acceptance() const { return slowest_acceptance_; }
   const std::set<std::string>& charters() const { return charters_; }
   void note(const std::string& line);
+  // From now on no trouble is made any more, and every rule holds that waits for that.
+  void troubles_over();
   static std::string all() { return "*"; }
 
  private:
@@ -173,6 +184,7 @@
   HttpReply state_commit(const std::string& body);
   void land_late(Ms t, const std::string& body);
   double chance();
+  void look_for_room();
   void change(const std::string& key, const std::string* value, std::uint64_t tether);
   void wake_watches();
   HttpReply follow_now(const std::string& prefix, std::uint64_t since) const;
@@ -228,6 +240,7 @@
   std::map<int, std::size_t> reports_taken_;
   std::map<std::string, Confirmed> confirmed_;
   bool copies_ = false;
+  std::size_t copies_sent_ = 0;
   double write_tokens_ = 0, slowest_acceptance_ = 0;
   Ms refilled_ = 0;
   std::size_t commits_ = 0, over_limit_ = 0;
@@ -241,6 +254,7 @@
   // users
   std::map<std::string, JobSpec> specs_;
   std::map<std::string, double> run_s_;
+  std::map<std::string, std::vector<double>> runs_;
   std::map<std::string, std::string> told_;
   std::set<std::string> failing_jobs_;
   int next_node_ = 0;
