--- a/src/actors/fleet.cc
+++ b/src/actors/fleet.cc
@@ -208,6 +208,7 @@
       }
     }
   }
+  raise_to_base(needs, largest);
   // A part with free room but no idle machine lets some run empty for the one that waits most.
   for (auto& [to, need] : needs) {
     double want = need.waiting_cpus;
@@ -216,18 +217,48 @@
           other.waiting_cpus > need.waiting_cpus * k::kGiverWaits)
         continue;
       const double give = std::min(want, (other.total_cpus - other.used_cpus) * k::kShedShare);
-      auto p = registrar_.view().parts.find(from);
-      if (give < k::kShedLeast || p == registrar_.view().parts.end()) continue;
+      if (give < k::kShedLeast) continue;
       want -= give;
       other.used_cpus += give;
-      if (p->second.owner == s_.node)
-        owner_.shed({from, give});
-      else
-        hooks_.send(p->second.owner, mesh::Shed{from, give});
+      shed(from, give);
     }
   }
 }
 
+void Fleet::shed(int from, double cpus) {
+  auto p = registrar_.view().parts.find(from);
+  if (p == registrar_.view().parts.end()) return;
+  if (p->second.owner == s_.node)
+    owner_.shed({from, cpus});
+  else
+    hooks_.send(p->second.owner, mesh::Shed{from, cpus});
+}
+
+// Guard: a part that has given its idle machines away is bare when its own work comes; while all
+// others have work waiting too, nobody gave it any, and it starved for ever. Below its base by the
+// guarantees it gets machines from the part that is furthest above its own.
+void Fleet::raise_to_base(const std::map<int, PartNeed>& needs, double largest) {
+  if (static_cast<int>(needs.size()) < s_.parts) return;
+  double cpus = 0, weights = 0;
+  for (const auto& [p, n] : needs) {
+    cpus += n.total_cpus;
+    weights += weight(p);
+  }
+  auto above = [&](int p) {
+    return needs.at(p).total_cpus - k::kBaseShare * cpus * weight(p) / weights;
+  };
+  for (const auto& [to, need] : needs) {
+    if (need.waiting_cpus <= 0 || above(to) >= 0) continue;
+    int from = to;
+    for (const auto& [p, n] : needs)
+      if (above(p) > above(from)) from = p;
+    const double give = std::max(-above(to), largest);
+    if (above(from) < give) continue;
+    shed(from, give);
+    advise(from, to, give, false);
+  }
+}
+
 // ------------------------------------------------------------------------- rent and return
 
 void Fleet::scale() {
--- a/src/actors/fleet.h
+++ b/src/actors/fleet.h
@@ -77,6 +77,8 @@
   void send_assignments(std::vector<std::string> ids);
   const MachineType* type(const std::string& name) const;
   void advise(int from, int to, double cpus, bool spot);
+  void shed(int from, double cpus);
+  void raise_to_base(const std::map<int, PartNeed>& needs, double largest);
 
   Runtime& rt_;
   const Settings& s_;
--- a/src/constants.h
+++ b/src/constants.h
@@ -43,6 +43,7 @@
 constexpr int kDeafAnswers = 3;  // answers in a row without a trace; one or two are lost by chance
 constexpr int kRaises = 2;       // answers that tell a machine a term which it then does not show
 constexpr Ms kStarvingMs = 120000;  // ms; half of the four minutes in which every job should begin
+constexpr Ms kBegunMs = 35000;      // ms; a start stopped within 30 s of its running does not count
 constexpr int kSickErrors = 3;      // failures without a success before a machine is shunned
 constexpr Ms kShunMs = 20000;       // ms; first pause of a shunned machine, doubles
 constexpr Ms kShunMaxMs = 300000;   // ms; longest pause of a shunned machine
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -65,7 +65,8 @@
 std::vector<std::string> Part::idle_machines(bool spot, double cpus, bool rested, Ms now) const {
   std::vector<const Machine*> idle;
   for (const auto& [id, m] : machines_)
-    if (m->spot == spot && takes_work(*m, now) && m->tasks.empty() &&
+    // Guard: one that was let run empty is given away at once; its advice is renewed all the time.
+    if (m->spot == spot && usable(*m, now) && m->tasks.empty() &&
         (!rested || now - m->idle_since >= keep_ms()))
       idle.push_back(m.get());
   std::sort(idle.begin(), idle.end(), [](const Machine* a, const Machine* b) {
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -151,6 +151,7 @@
     bool seen = false;   // a report has shown it
     Ms ends = 0;         // by its owner's estimate
     double grace_s = 0;  // told with the kill
+    Ms kept_until = 0;   // the first task of a job that starved is not stopped before
   };
   using TaskKey = std::pair<std::string, std::uint32_t>;
   struct Machine {
@@ -237,6 +238,9 @@
   bool may_start(const Machine& m, const Job& j, const Proof& proof, Ms now) const;
   static Fill fill(const Machine& m);
   static double reserve(const Machine& m);
+  void hold_room(Machine& m, const Proof& proof, Ms now);
+  bool open_to(const Machine& m, const Job& j) const;
+  bool usable(const Machine& m, Ms now) const;
   bool takes_work(const Machine& m, Ms now) const;
   double free_for(const Job& j) const;
   double room_on_fuller(const Machine& m, const Job& j) const;
@@ -292,6 +296,10 @@
   Ms reordered_ = 0;
   double slack_s_ = 0, wait_s_ = 0;  // see `PartNeed`
   Ms surplus_since_ = 0;
+  struct Hold {  // a machine that takes no other arrays until this job has begun on it
+    std::string machine, job;
+  };
+  Hold hold_;
   std::uint64_t counter_ = 0, preemptions_ = 0, steps_ = 0;
   std::map<std::string, std::vector<Order>> kills_;
 };
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -34,9 +34,13 @@
   return m.type && m.cpus * 2 < m.type->cpus ? kEmptier : kFuller;
 }
 
-bool Part::takes_work(const Machine& m, Ms now) const {
+bool Part::usable(const Machine& m, Ms now) const {
   return m.proven && m.reported && !m.gone && !m.leaving && m.type && !m.taken_at &&
-         m.shun_until <= now && m.shed_until <= now && m.unknown == 0;
+         m.shun_until <= now && m.unknown == 0;
+}
+
+bool Part::takes_work(const Machine& m, Ms now) const {
+  return usable(m, now) && m.shed_until <= now;
 }
 
 // The smallest task of the open arrays: less room than that is of no use to them.
@@ -216,12 +220,21 @@
   while (j.state[i] != State::queued) ++i;
   j.first_queued = i;
   std::uint64_t attempt = (term_of(m.id) << constants::kAttemptBits) + ++counter_;
+  const bool starved = j.starving;
+  const Ms fetch = fetch_ms(m, j);
   bind(m, j, i, attempt, TaskPhase::pulling);
+  if (starved) {
+    m.tasks[{j.spec.id, i}].kept_until = now_ + fetch + constants::kBegunMs;
+    j.starving = false;  // it has begun: the next task takes its turn
+    if (hold_.job == j.spec.id) hold_ = {};
+  }
   out.push_back({Verb::launch, j.spec.id, i, attempt, 0});
 }
 
 bool Part::may_stop(const Bound& victim, const Job& j, bool by_guarantee) const {
-  if (!victim.job || victim.killing || victim.phase == TaskPhase::flushing) return false;
+  if (!victim.job || victim.killing || victim.phase == TaskPhase::flushing ||
+      now_ < victim.kept_until)
+    return false;
   const JobSpec& v = victim.job->spec;
   if (by_guarantee)
     return victim.team != j.team && v.kind == Kind::array && v.rank <= j.spec.rank &&
@@ -305,7 +318,7 @@
   const Ms spare_ms = pack_ms + limits_.report_ms * 5 / 4;
   for (Job* j : order) {
     if (m.cpus + least_cpus_ > m.type->cpus + kEps) return;
-    if (!may_start(m, *j, proof, now) || better_elsewhere(m, *j, now)) continue;
+    if (!open_to(m, *j) || !may_start(m, *j, proof, now) || better_elsewhere(m, *j, now)) continue;
     const Ms waited = now - j->waiting_since;
     const bool packs = j->spec.kind == Kind::array && waited < pack_ms;
     // A spared machine is left alone, but not for longer than all others take to report.
@@ -321,12 +334,45 @@
           team_cpus_[j->team] + j->spec.cpus > teams_[j->team].cpus + kEps)
         break;
       m.spare = false;
+      const bool starved = j->starving;
       start_one(m, *j, out);
       if (m.unheard > 0) return;  // one task on trial
+      if (starved) break;
     }
   }
 }
 
+// Room that frees here is held for a job that starves and fits on no machine as it stands, until it
+// has begun; one machine at a time. Guard: a task that needs a whole machine never met one, as
+// whatever freed was taken by smaller tasks at once.
+void Part::hold_room(Machine& m, const Proof& proof, Ms now) {
+  auto job = jobs_.find(hold_.job);
+  auto machine = machines_.find(hold_.machine);
+  if (job == jobs_.end() || !job->second->starving || job->second->held ||
+      machine == machines_.end() || !usable(*machine->second, now))
+    hold_ = {};
+  if (!hold_.machine.empty()) return;
+  // By then every machine has reported since it starves.
+  const Ms after = constants::kStarvingMs + limits_.report_ms * 5 / 4;
+  for (Job* j : waiting()) {
+    if (!j->starving || now - j->accepted < after || !may_start(m, *j, proof, now) ||
+        fits(m, *j, proof.cpus))
+      continue;
+    // The other conditions, as if it ran services alone.
+    const auto taken = std::tuple(m.cpus, m.gpus, m.memory_gb);
+    std::tie(m.cpus, m.gpus, m.memory_gb) = std::tuple(m.service_cpus, 0.0, 0.0);
+    const bool would_fit = fits(m, *j, proof.cpus);
+    std::tie(m.cpus, m.gpus, m.memory_gb) = taken;
+    if (!would_fit) continue;
+    hold_ = {m.id, j->spec.id};
+    return;
+  }
+}
+
+bool Part::open_to(const Machine& m, const Job& j) const {
+  return m.id != hold_.machine || j.spec.id == hold_.job || j.spec.kind == Kind::service;
+}
+
 double Part::free_for(const Job& j) const {
   double room = 0;
   for (int f = 0; f < kFills; ++f)
@@ -348,7 +394,7 @@
     // victims. On jelajah-grown some jobs had each of their tasks stopped for nothing.
     const bool by_guarantee =
         waited >= reclaim_after && within() && j->queued * j->spec.cpus > free_for(*j);
-    if ((!by_rank && !by_guarantee) || !may_start(m, *j, proof, now) ||
+    if ((!by_rank && !by_guarantee) || !open_to(m, *j) || !may_start(m, *j, proof, now) ||
         better_elsewhere(m, *j, now))
       continue;
     while (by_rank && j->queued > 0 && preempt_for(m, *j, proof.cpus, false, out)) {
@@ -365,6 +411,7 @@
   if (it == machines_.end() || !takes_work(*it->second, now) || waiting().empty()) return out;
   Machine& m = *it->second;
   const Proof known = proof();
+  hold_room(m, known, now);
   if (m.cpus + least_cpus_ <= m.type->cpus + kEps) {
     const auto order = order_for(m);
     for (bool within : {true, false})
--- a/src/core/queue.cc
+++ b/src/core/queue.cc
@@ -9,8 +9,9 @@
 // Who goes first: the smaller one. `later`: so much less urgent than it is.
 template <class J>
 auto urgency(const J& j, Ms later) {
-  return std::tuple(-static_cast<int>(j.spec.rank), !j.starving, j.stage, j.latest_start + later,
-                    j.stamp);
+  // Guard: idle-time work starved behind a queue of higher rank that never ended.
+  const Rank rank = j.starving ? std::max(j.spec.rank, Rank::standard) : j.spec.rank;
+  return std::tuple(-static_cast<int>(rank), !j.starving, j.stage, j.latest_start + later, j.stamp);
 }
 
 }  // namespace
@@ -165,7 +166,7 @@
     const double cpus = m->type->cpus;
     n.total_cpus += cpus;
     if (m->spot) n.spot_cpus += cpus;
-    if (!takes_work(*m, now) || !m->tasks.empty()) continue;
+    if (!usable(*m, now) || !m->tasks.empty()) continue;
     ++n.idle_machines;
     (m->spot ? n.idle_spot_cpus : n.idle_cpus) += cpus;
     if (now - m->idle_since >= keep_ms()) (m->spot ? n.rested_spot_cpus : n.rested_cpus) += cpus;
--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -2,6 +2,8 @@
 // asserts that it was reached, and then that no rule was broken.
 #include <gtest/gtest.h>
 
+#include <array>
+
 #include "standin/world.h"
 
 using namespace eiderreel;
@@ -153,6 +155,49 @@
 
 INSTANTIATE_TEST_SUITE_P(Offsets, GapTest, testing::ValuesIn(gaps()));
 
+JobSpec service(World& w, const std::string& id, const std::string& team, double cpus) {
+  JobSpec s = w.job(id, team, 1, cpus);
+  s.kind = Kind::service;
+  s.rank = Rank::production;
+  s.spot = false;
+  return s;
+}
+
+// ------------------------------------------------------------------- more work than room
+// Guests without a guarantee among teams whose queues never end, over slow links: idle-time work
+// begins all the same, and so does a task that needs a whole machine.
+TEST(MoreWorkThanRoom, IdleTimeWorkAndTheLargestTasksBeginInTime) {
+  Options o;
+  o.machines = 4;
+  o.capacity = 0;
+  o.latency_ms = 150;
+  o.teams.push_back({"guest", 0, 1e9, 0, 0});
+  World w(o);
+  w.at(5, [&] {
+    JobSpec idle = w.job("run-900", "guest", 40, 1, 60),
+            whole = w.job("run-901", "guest", 3, 8, 30);
+    for (JobSpec* j : {&idle, &whole}) {
+      j->rank = Rank::best_effort;
+      j->deadline_s.reset();
+      j->jobclass = j->id;
+      w.submit(*j);
+    }
+    for (int i = 0; i < 3; ++i)
+      w.submit(
+          service(w, "run-80" + std::to_string(i), o.teams[static_cast<std::size_t>(i)].name, 2));
+  });
+  for (int i = 0; i < 110; ++i)
+    w.at(4 + 3 * i, [&w, i] {
+      JobSpec s =
+          w.job("run-" + std::to_string(i + 1), std::array{"red", "blue", "gold"}[i % 3], 14, 1, 8);
+      s.deadline_s = 20;
+      w.submit(s);
+    });
+  w.run_until(320);
+  w.checker().day_over(320);
+  expect_rules_kept(w);
+}
+
 // -------------------------------------------------------------------- the other meetings
 // Each case is a day in the world: a load, its troubles, and what shows that they met. The troubles
 // are over at `over`; from then on every rule holds.
@@ -170,14 +215,6 @@
   std::function<void(World&)> reached;
 };
 
-JobSpec service(World& w, const std::string& id, const std::string& team, double cpus) {
-  JobSpec s = w.job(id, team, 1, cpus);
-  s.kind = Kind::service;
-  s.rank = Rank::production;
-  s.spot = false;
-  return s;
-}
-
 // A service, a short and a long array of each team.
 void usual(World& w, Load& load, double t = 5) {
   int n = 100;
