--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -163,6 +163,64 @@
   return s;
 }
 
+// A service and a short array of each team.
+void short_load(World& w) {
+  w.at(5, [&w] {
+    int n = 800;
+    for (const char* team : {"red", "blue", "gold"}) {
+      w.submit(service(w, "run-" + std::to_string(n++), team, 2));
+      w.submit(w.job("run-" + std::to_string(n++), team, 6, 1, 4));
+    }
+  });
+}
+
+// --------------------------------------------------------------------- a move in doubt
+// The transaction that gives idle machines away has no answer and lands seconds later; until then
+// later tries are refused. The giver must not use the machines meanwhile.
+class MoveInDoubt : public testing::TestWithParam<std::tuple<std::uint64_t, double>> {};
+
+TEST_P(MoveInDoubt, TheMachinesAreNotUsedUntilItIsProven) {
+  const auto [seed, late_s] = GetParam();
+  Options o;
+  o.seed = seed;
+  o.capacity = 0;
+  World w(o);
+  short_load(w);
+  std::size_t before = 0;
+  double moved = 0;
+  w.at(11, [&, late_s = late_s] {
+    w.late_writes({1, late_s, late_s + 0.1});
+    before = w.lines("machine moves");
+  });
+  for (double t = 11.01; t < 60; t += 0.05)
+    w.at(t, [&] {
+      if (moved > 0 || w.lines("machine moves") == before) return;
+      moved = w.now();
+      w.late_writes({});
+      for (int n = 0; n < 3; ++n) w.state_refuses(n, true);
+      w.cloud_outage(true);  // nothing can be returned, so what is on the machines goes on
+      w.at(moved + 20, [&w] { w.cloud_outage(false); });
+      w.at(moved + 3.6, [&w] {
+        for (int n = 0; n < 3; ++n) w.state_refuses(n, false);
+      });
+      w.at(moved + 3.7, [&w] {
+        for (int i = 0; i < 9; ++i)
+          w.submit(w.job("run-" + std::to_string(i), std::array{"red", "blue", "gold"}[i % 3], 12));
+      });
+    });
+  w.run_until(60);
+  ASSERT_GT(moved, 0);
+  ASSERT_GE(w.without_answer(), 1u);
+  w.troubles_over();
+  w.run_until(190);
+  expect_rules_kept(w);
+  for (int i = 0; i < 9; ++i) EXPECT_EQ(w.phase("run-" + std::to_string(i)), "done") << i;
+}
+
+INSTANTIATE_TEST_SUITE_P(Delays, MoveInDoubt,
+                         testing::Combine(testing::Values(1, 2, 3),
+                                          testing::Values(4.2, 5.0, 7.0)));
+
 // ------------------------------------------------------------------- more work than room
 // Guests without a guarantee among teams whose queues never end, over slow links: idle-time work
 // begins all the same, and so does a task that needs a whole machine.
--- a/tests/standin/world.cc
+++ b/tests/standin/world.cc
@@ -458,6 +458,7 @@
     write_tokens_ -= n;
     ++commits_;
     if (late_.share > 0 && chance() < late_.share) {
+      ++without_answer_;
       const double late_s = late_.least_s + (late_.most_s - late_.least_s) * chance();
       return land_late(now_ + static_cast<Ms>(late_s * 1000), r.body);
     }
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -113,6 +113,8 @@
   std::size_t lines(const std::string& text) const;
   // Transactions that were carried out late.
   std::size_t landed_late() const { return landed_late_; }
+  // Transactions that got no answer, whether they landed or met newer ones.
+  std::size_t without_answer() const { return without_answer_; }
   // Longest wait of a user for an acceptance, seconds.
   double slowest_acceptance() const { return slowest_acceptance_; }
   const std::set<std::string>& charters() const { return charters_; }
@@ -236,7 +238,7 @@
   std::set<std::string> deaf_, mute_;
   LateWrites late_;
   Ms state_slow_ms_ = 0;
-  std::size_t landed_late_ = 0;
+  std::size_t landed_late_ = 0, without_answer_ = 0;
   std::map<int, std::size_t> reports_taken_;
   std::map<std::string, Confirmed> confirmed_;
   bool copies_ = false;
