--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -276,7 +276,7 @@
     // Guard: while a final commit may have landed, a peer may have read it and told its users. What
     // we hold to be open would then go back on that; the state service alone can tell.
     auto f = o->flushes.find(a.job);
-    if (f != o->flushes.end() && f->second.last_word) return reply(0, "");
+    if (f != o->flushes.end() && f->second.final_commit) return reply(0, "");
     return reply(200, codec::job_status(a.job, *status));
   }
   // Its tasks are of no use to anyone from now on. Guard: killed only after the commit, they went
@@ -301,7 +301,7 @@
   f.in_flight = true;
   o.core->hold_job(id);
   const std::uint64_t term = o.core->term();
-  if (!f.last_word) {
+  if (!f.final_commit) {
     Commit c;
     c.nonce = registrar_.nonce();
     c.guards = job_guards(part, id);
@@ -310,12 +310,11 @@
                 {codec::job_key(id), "", false}};
     for (const auto& [chunk, stamp] : f.chunk_stamps)
       c.writes.push_back({codec::done_key(part, id, chunk), "", false});
-    f.last_word = {phase, std::move(c)};
+    f.final_commit = {phase, std::move(c)};
   }
-  Commit c = f.last_word->commit;
-  c.done = [this, part, id, term, reply, phase = f.last_word->phase](Outcome out, std::uint64_t) {
-    finished(part, id, term, out, phase, reply);
-  };
+  Commit c = f.final_commit->commit;
+  c.done = [this, part, id, term, reply, phase = f.final_commit->phase](
+               Outcome out, std::uint64_t) { finished(part, id, term, out, phase, reply); };
   registrar_.commit(std::move(c));
 }
 
@@ -333,9 +332,9 @@
       f->second.in_flight = false;
       f->second.last = rt_.now();
       if (out == Outcome::unknown)
-        f->second.last_word->commit.doubt = true;
+        f->second.final_commit->commit.doubt = true;
       else
-        f->second.last_word.reset();
+        f->second.final_commit.reset();
     }
   spdlog::warn("job not-final job={} phase={} term={} outcome={}", id, codec::phase_name(phase),
                term, static_cast<int>(out));
--- a/src/actors/owner.h
+++ b/src/actors/owner.h
@@ -61,7 +61,7 @@
     Reply reply;
     Ms until = 0;
   };
-  struct LastWord {
+  struct FinalCommit {
     JobPhase phase = JobPhase::done;
     Commit commit;
   };
@@ -70,7 +70,7 @@
     bool in_flight = false;
     std::map<std::uint32_t, std::uint64_t> chunk_stamps;
     // The final commit that was sent and is not proven undone: it may have landed, or still may.
-    std::optional<LastWord> last_word;
+    std::optional<FinalCommit> final_commit;
   };
   struct Owned {
     std::unique_ptr<Part> core;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -238,7 +238,7 @@
   bool may_start(const Machine& m, const Job& j, const Proof& proof, Ms now) const;
   static Fill fill(const Machine& m);
   static double reserve(const Machine& m);
-  void hold_room(Machine& m, const Proof& proof, Ms now);
+  void reserve_room(Machine& m, const Proof& proof, Ms now);
   bool open_to(const Machine& m, const Job& j) const;
   bool usable(const Machine& m, Ms now) const;
   bool takes_work(const Machine& m, Ms now) const;
@@ -296,10 +296,10 @@
   Ms reordered_ = 0;
   double slack_s_ = 0, wait_s_ = 0;  // see `PartNeed`
   Ms surplus_since_ = 0;
-  struct Hold {  // a machine that takes no other arrays until this job has begun on it
+  struct Reservation {  // a machine that takes no other arrays until this job has begun on it
     std::string machine, job;
   };
-  Hold hold_;
+  Reservation reservation_;
   std::uint64_t counter_ = 0, preemptions_ = 0, steps_ = 0;
   std::map<std::string, std::vector<Order>> kills_;
 };
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -226,7 +226,7 @@
   if (starved) {
     m.tasks[{j.spec.id, i}].kept_until = now_ + fetch + constants::kBegunMs;
     j.starving = false;  // it has begun: the next task takes its turn
-    if (hold_.job == j.spec.id) hold_ = {};
+    if (reservation_.job == j.spec.id) reservation_ = {};
   }
   out.push_back({Verb::launch, j.spec.id, i, attempt, 0});
 }
@@ -345,13 +345,13 @@
 // Room that frees here is held for a job that starves and fits on no machine as it stands, until it
 // has begun; one machine at a time. Guard: a task that needs a whole machine never met one, as
 // whatever freed was taken by smaller tasks at once.
-void Part::hold_room(Machine& m, const Proof& proof, Ms now) {
-  auto job = jobs_.find(hold_.job);
-  auto machine = machines_.find(hold_.machine);
+void Part::reserve_room(Machine& m, const Proof& proof, Ms now) {
+  auto job = jobs_.find(reservation_.job);
+  auto machine = machines_.find(reservation_.machine);
   if (job == jobs_.end() || !job->second->starving || job->second->held ||
       machine == machines_.end() || !usable(*machine->second, now))
-    hold_ = {};
-  if (!hold_.machine.empty()) return;
+    reservation_ = {};
+  if (!reservation_.machine.empty()) return;
   // By then every machine has reported since it starves.
   const Ms after = constants::kStarvingMs + limits_.report_ms * 5 / 4;
   for (Job* j : waiting()) {
@@ -364,13 +364,14 @@
     const bool would_fit = fits(m, *j, proof.cpus);
     std::tie(m.cpus, m.gpus, m.memory_gb) = taken;
     if (!would_fit) continue;
-    hold_ = {m.id, j->spec.id};
+    reservation_ = {m.id, j->spec.id};
     return;
   }
 }
 
 bool Part::open_to(const Machine& m, const Job& j) const {
-  return m.id != hold_.machine || j.spec.id == hold_.job || j.spec.kind == Kind::service;
+  return m.id != reservation_.machine || j.spec.id == reservation_.job ||
+         j.spec.kind == Kind::service;
 }
 
 double Part::free_for(const Job& j) const {
@@ -411,7 +412,7 @@
   if (it == machines_.end() || !takes_work(*it->second, now) || waiting().empty()) return out;
   Machine& m = *it->second;
   const Proof known = proof();
-  hold_room(m, known, now);
+  reserve_room(m, known, now);
   if (m.cpus + least_cpus_ <= m.type->cpus + kEps) {
     const auto order = order_for(m);
     for (bool within : {true, false})
--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -174,6 +174,79 @@
   });
 }
 
+// -------------------------------------------------------------- the end of a job's last task
+// With no other trouble, a cancellation, a question and a repeated submission come at that moment,
+// each some milliseconds later than for the job before.
+TEST(TheEndOfAJob, IsMetByACancellationAQuestionAndARepeatedSubmission) {
+  World w({});
+  constexpr int kJobs = 60;
+  std::vector<JobSpec> specs;
+  for (int i = 0; i < kJobs; ++i) {
+    JobSpec s =
+        w.job("run-" + std::to_string(i), std::array{"red", "blue", "gold"}[i % 3], 1, 0.25, 4);
+    s.image_gb = 0;
+    specs.push_back(s);
+  }
+  w.at(6, [&] {
+    for (const auto& s : specs) w.submit(s);
+  });
+  for (int i = 0; i < kJobs; ++i)
+    w.at(10.0 + 0.025 * i, [&w, &specs, i] {
+      const JobSpec& s = specs[static_cast<std::size_t>(i)];
+      w.cancel(s.id);
+      for (int n = 0; n < 3; ++n) {
+        w.poll_once(n, s.id, [](int, const std::string&) {});
+        w.repeat(n, s);
+      }
+      w.at(w.now() + 0.1, [&w, &s] {
+        for (int n = 0; n < 3; ++n) w.repeat(n, s);
+      });
+    });
+  w.troubles_over();
+  w.run_until(110);
+  expect_rules_kept(w);
+  std::map<std::string, int> ends;
+  for (const auto& s : specs) ++ends[w.phase(s.id)];
+  EXPECT_GE(ends["done"], 5);  // both were met
+  EXPECT_GE(ends["cancelled"], 5);
+  EXPECT_EQ(ends["done"] + ends["cancelled"], kJobs);
+}
+
+// Fresh nodes, also in an outage, accept nothing that cannot run or lacks a field.
+TEST(OddRequests, AreNeverAccepted) {
+  World w({});
+  JobSpec nowhere = w.job("run-1", "red", 2), nobody = w.job("run-2", "nobody", 2),
+          large = w.job("run-3", "red", 2, 9);
+  nowhere.zone = "z";
+  const std::string good = codec::encode(w.job("run-4", "red", 2), "user");
+  std::string lacking = good;
+  lacking.replace(lacking.find("\"shards\""), 8, "\"shard\"");
+  const std::vector<std::string> odd = {codec::encode(nowhere, "u"),
+                                        codec::encode(nobody, "u"),
+                                        codec::encode(large, "u"),
+                                        lacking,
+                                        good + "x",
+                                        "[]"};
+  w.at(8, [&] {
+    for (int n = 0; n < 3; ++n) w.crash(n, 0.1 + n);
+  });
+  w.at(14, [&] { w.state_outage(true); });
+  w.at(15, [&] { w.crash(1, 0.2); });
+  w.at(30, [&] { w.state_outage(false); });
+  for (double t = 3; t < 45; t += 0.31)
+    w.at(t, [&w, &odd] {
+      for (int n = 0; n < 3; ++n)
+        for (const auto& body : odd) w.submit_odd(n, body);
+    });
+  w.at(20, [&w] { w.submit(w.job("run-9", "red", 2)); });
+  w.run_until(60);
+  EXPECT_GT(w.odd_refused(400), 100u);
+  EXPECT_GT(w.odd_refused(422), 100u);
+  EXPECT_GT(w.odd_refused(503), 10u);
+  EXPECT_EQ(w.phase("run-9"), "done");
+  expect_rules_kept(w);
+}
+
 // --------------------------------------------------------------------- a move in doubt
 // The transaction that gives idle machines away has no answer and lands seconds later; until then
 // later tries are refused. The giver must not use the machines meanwhile.
--- a/tests/standin/world.cc
+++ b/tests/standin/world.cc
@@ -941,6 +941,24 @@
   try_submit(spec, now() + 60);
 }
 
+void World::repeat(int node, const JobSpec& spec) {
+  raw(node, "POST", "/v1/jobs", codec::encode(spec, "user"),
+      [this, id = spec.id](int status, const std::string& body) {
+        checker_.submit_answer(now(), id, status);
+        if (status != 200 && status != 201) return;
+        Document d;
+        d.Parse(body.c_str());
+        checker_.told(now(), id, d["phase"].GetString());
+      });
+}
+
+void World::submit_odd(int node, const std::string& body) {
+  raw(node, "POST", "/v1/jobs", body, [this, body](int status, const std::string&) {
+    ++odd_[status];
+    checker_.odd_answer(now(), body, status);
+  });
+}
+
 void World::try_submit(const JobSpec& spec, double until) {
   raw(pick_node(), "POST", "/v1/jobs", codec::encode(spec, "user"),
       [this, spec, until, began = now()](int status, const std::string&) {
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -49,6 +49,13 @@
   void set_run_s(const std::string& id, std::vector<double> run_s) { runs_[id] = std::move(run_s); }
   void submit(const JobSpec& spec);
   void cancel(const std::string& id);
+  // A submission again, to one node; and one that must not be accepted.
+  void repeat(int node, const JobSpec& spec);
+  void submit_odd(int node, const std::string& body);
+  std::size_t odd_refused(int status) const {  // submissions of that kind, by their answer
+    auto it = odd_.find(status);
+    return it == odd_.end() ? 0 : it->second;
+  }
   void poll_once(int node, const std::string& id, std::function<void(int, std::string)> done);
   // What users have last been told; empty: nothing.
   std::string phase(const std::string& id) const;
@@ -259,6 +266,7 @@
   std::map<std::string, std::vector<double>> runs_;
   std::map<std::string, std::string> told_;
   std::set<std::string> failing_jobs_;
+  std::map<int, std::size_t> odd_;
   int next_node_ = 0;
 };
 
