A job no longer waits beside room that services of other parts keep from running empty

Mended: a part says how long a job of which nothing runs has waited; after 70 s the leader has one machine of a part that waits for nothing drained: its replicas move, one at a time, to machines with their image and room.

--- a/src/actors/fleet.cc
+++ b/src/actors/fleet.cc
@@ -209,6 +209,7 @@
     }
   }
   raise_to_base(needs, largest);
+  drain_one(needs);
   // A part with free room but no idle machine lets some run empty for the one that waits most.
   for (auto& [to, need] : needs) {
     double want = need.waiting_cpus;
@@ -220,18 +221,31 @@
       if (give < k::kShedLeast) continue;
       want -= give;
       other.used_cpus += give;
-      shed(from, give);
+      shed(from, give, false);
     }
   }
 }
 
-void Fleet::shed(int from, double cpus) {
+// Guard: a job must not wait beside room that services of other parts keep from running empty. One
+// machine at a time: to move services costs what users notice.
+void Fleet::drain_one(const std::map<int, PartNeed>& needs) {
+  double smallest = types_.front().cpus;
+  for (const auto& t : types_) smallest = std::min(smallest, t.cpus);
+  for (const auto& [to, need] : needs) {
+    if (need.waited_s < k::kDrainAfterS) continue;
+    for (const auto& [from, other] : needs)
+      if (from != to && other.waiting_cpus <= 0 && other.total_cpus - other.used_cpus >= smallest)
+        return shed(from, smallest, true);
+  }
+}
+
+void Fleet::shed(int from, double cpus, bool drain) {
   auto p = registrar_.view().parts.find(from);
   if (p == registrar_.view().parts.end()) return;
   if (p->second.owner == s_.node)
-    owner_.shed({from, cpus});
+    owner_.shed({from, cpus, drain});
   else
-    hooks_.send(p->second.owner, mesh::Shed{from, cpus});
+    hooks_.send(p->second.owner, mesh::Shed{from, cpus, drain});
 }
 
 // Guard: a part that has given its idle machines away is bare when its own work comes; while all
@@ -254,7 +268,7 @@
       if (above(p) > above(from)) from = p;
     const double give = std::max(-above(to), largest);
     if (above(from) < give) continue;
-    shed(from, give);
+    shed(from, give, false);
     advise(from, to, give, false);
   }
 }
--- a/src/actors/fleet.h
+++ b/src/actors/fleet.h
@@ -77,7 +77,8 @@
   void send_assignments(std::vector<std::string> ids);
   const MachineType* type(const std::string& name) const;
   void advise(int from, int to, double cpus, bool spot);
-  void shed(int from, double cpus);
+  void shed(int from, double cpus, bool drain);
+  void drain_one(const std::map<int, PartNeed>& needs);
   void raise_to_base(const std::map<int, PartNeed>& needs, double largest);
 
   Runtime& rt_;
--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -244,7 +244,7 @@
 }
 
 void Owner::shed(const mesh::Shed& s) {
-  if (Owned* o = acting_owned(s.part)) o->core->shed(s.cpus, rt_.now());
+  if (Owned* o = acting_owned(s.part)) o->core->shed(s.cpus, s.drain, rt_.now());
 }
 
 // --------------------------------------------------------------------------------- jobs
--- a/src/codec/mesh.capnp
+++ b/src/codec/mesh.capnp
@@ -56,6 +56,7 @@
   spotCpus @14 :Float64;
   waitS @15 :Float64;
   stranded @16 :List(Stranded);   # jobs bound to a place that has too little room for them
+  waitedS @17 :Float64;
 }
 
 struct Stranded {
@@ -73,6 +74,7 @@
 struct Shed {                     # the leader's advice: let machines of this part run empty
   part @0 :UInt16;
   cpus @1 :Float64;               # about so many; holds for a few seconds
+  drain @2 :Bool;                 # also machines with services, which move to others
 }
 
 struct Machines {
--- a/src/codec/mesh.cc
+++ b/src/codec/mesh.cc
@@ -61,6 +61,7 @@
       b.setRestedSpotCpus(n.rested_spot_cpus);
       b.setIdleMachines(n.idle_machines);
       b.setSpotCpus(n.spot_cpus);
+      b.setWaitedS(n.waited_s);
       auto stranded = b.initStranded(static_cast<unsigned>(n.stranded.size()));
       for (unsigned s = 0; s < n.stranded.size(); ++s) {
         stranded[s].setJob(n.stranded[s].first);
@@ -82,6 +83,7 @@
     auto b = e.initShed();
     b.setPart(static_cast<std::uint16_t>(m.part));
     b.setCpus(m.cpus);
+    b.setDrain(m.drain);
   }
   void operator()(const PledgeAsk& m) {
     auto b = e.initPledgeAsk();
@@ -128,6 +130,7 @@
     n.rested_spot_cpus = b.getRestedSpotCpus();
     n.idle_machines = b.getIdleMachines();
     n.spot_cpus = b.getSpotCpus();
+    n.waited_s = b.getWaitedS();
     for (auto st : b.getStranded()) n.stranded.emplace_back(st.getJob().cStr(), st.getCpus());
     s.parts.emplace_back(b.getPart(), std::move(n));
   }
@@ -170,7 +173,7 @@
       m.body = Gone{names(e.getGone().getMachines())};
       break;
     case wire::Envelope::SHED:
-      m.body = Shed{e.getShed().getPart(), e.getShed().getCpus()};
+      m.body = Shed{e.getShed().getPart(), e.getShed().getCpus(), e.getShed().getDrain()};
       break;
     case wire::Envelope::PLEDGE_ASK:
       m.body = read_pledge_ask(e.getPledgeAsk());
--- a/src/codec/mesh.h
+++ b/src/codec/mesh.h
@@ -35,6 +35,7 @@
 struct Shed {
   int part = 0;
   double cpus = 0;
+  bool drain = false;  // also machines with services
 };
 struct PledgeAsk {
   std::uint64_t number = 0;
--- a/src/constants.h
+++ b/src/constants.h
@@ -114,14 +114,16 @@
 constexpr std::size_t kMeshBacklogMax = 1 << 20;  // bytes unsent before a link is dropped
 
 // --- cloud --------------------------------------------------------------------------------
-constexpr Ms kCloudTimeoutMs = 8000;      // ms
-constexpr Ms kListEveryMs = 3000;         // ms
-constexpr Ms kCatalogEveryMs = 60000;     // ms; prices move slowly
-constexpr Ms kLeaderSettlesMs = 8000;     // ms; a new leader first hears of machines and needs
-constexpr double kServiceRoom = 1.5;      // times what services use; room for the next ones
-constexpr double kGiverWaits = 0.25;      // of the waiting work of the part in need: a giver's most
-constexpr double kShedShare = 0.75;       // of a part's free room that is given to one in need
-constexpr double kShedLeast = 8;          // CPUs; less waiting is not worth a move
+constexpr Ms kCloudTimeoutMs = 8000;   // ms
+constexpr Ms kListEveryMs = 3000;      // ms
+constexpr Ms kCatalogEveryMs = 60000;  // ms; prices move slowly
+constexpr Ms kLeaderSettlesMs = 8000;  // ms; a new leader first hears of machines and needs
+constexpr double kServiceRoom = 1.5;   // times what services use; room for the next ones
+constexpr double kGiverWaits = 0.25;   // of the waiting work of the part in need: a giver's most
+constexpr double kShedShare = 0.75;    // of a part's free room that is given to one in need
+constexpr double kDrainAfterS =
+    70;                           // s; well under the 90 that a job may wait beside room elsewhere
+constexpr double kShedLeast = 8;  // CPUs; less waiting is not worth a move
 constexpr double kBaseShare = 0.5;        // share of machines dealt out by guarantees alone
 constexpr Ms kFleetEveryMs = 1000;        // ms
 constexpr Ms kStrandedAfterMs = 4000;     // ms; by then all machines that fit have reported
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -49,6 +49,7 @@
   // go back; ordinary and spot ones. Never by name: a part may have hundreds.
   double idle_cpus = 0, idle_spot_cpus = 0, rested_cpus = 0, rested_spot_cpus = 0;
   std::uint32_t idle_machines = 0;
+  double waited_s = 0;  // the longest that a job of which nothing runs has waited
   // Jobs bound to a zone or to types, and the CPUs that they lack there; room elsewhere is of no
   // use to them. The first few in the order of the queue.
   std::vector<std::pair<std::string, double>> stranded;
@@ -74,7 +75,8 @@
   std::vector<std::string> idle_machines(bool spot, double cpus, bool rested, Ms now) const;
 
   // Lets machines of about so many CPUs run empty: for a few seconds they take no new work.
-  void shed(double cpus, Ms now);
+  // `drain`: also such with services, which are moved to other machines one by one.
+  void shed(double cpus, bool drain, Ms now);
 
   // --- jobs ---
   // `age`: how long ago it was accepted. `done`: indexes recorded as done. `older`: accepted before
@@ -162,7 +164,7 @@
     bool proven = false;  // has reported under our term (or is fresh)
     bool reported = false;
     bool leaving = false;
-    Ms shed_until = 0;
+    Ms shed_until = 0, drain_until = 0;
     bool spare = false;  // takes work only when no other machine can, so that it runs empty
     bool gone = false;   // its lease is over; a new tenure must appear
     std::uint64_t tenure = 0, tick = 0;
@@ -238,6 +240,8 @@
   bool may_start(const Machine& m, const Job& j, const Proof& proof, Ms now) const;
   static Fill fill(const Machine& m);
   static double reserve(const Machine& m);
+  void drain(Machine& m, const Proof& proof, Ms now, std::vector<Order>& out);
+  bool room_beside(const Machine& m, const Job& j, const Proof& proof, Ms now) const;
   void reserve_room(Machine& m, const Proof& proof, Ms now);
   bool open_to(const Machine& m, const Job& j) const;
   bool usable(const Machine& m, Ms now) const;
@@ -248,6 +252,7 @@
   void spare(double surplus, Ms now);
   void use_spared(double wanted, Ms now);
   static Ms empty_at(const Machine& m);
+  static Ms arrays_end(const Machine& m);
   std::vector<Machine*> by_emptiness(Ms now, bool spared);
   double unit() const;
   double left(const Machine& m) const;
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -115,6 +115,14 @@
   return at;
 }
 
+// The same of the arrays alone: services can be moved.
+Ms Part::arrays_end(const Machine& m) {
+  Ms at = 0;
+  for (const auto& [key, b] : m.tasks)
+    if (!b.service) at = std::max(at, b.ends);
+  return at;
+}
+
 // Those that will be empty soonest first: one long task holds a machine as much as sixteen. Where
 // thrift pays, spot machines come last.
 std::vector<Part::Machine*> Part::by_emptiness(Ms now, bool spared) {
@@ -182,23 +190,50 @@
   return room;
 }
 
-void Part::shed(double cpus, Ms now) {
+void Part::shed(double cpus, bool drain, Ms now) {
   std::vector<Machine*> candidates;
   for (auto& [id, m] : machines_)
-    if (m->proven && m->reported && !m->gone && !m->leaving && m->type && m->service_cpus == 0)
+    if (m->proven && m->reported && !m->gone && !m->leaving && m->type &&
+        (drain || m->service_cpus == 0))
       candidates.push_back(m.get());
-  // Those that run empty already first, then the emptiest.
-  std::sort(candidates.begin(), candidates.end(), [now](const Machine* a, const Machine* b) {
-    return std::tuple(a->shed_until < now, a->cpus, a->id) <
-           std::tuple(b->shed_until < now, b->cpus, b->id);
-  });
+  // Those that run empty already first, then the emptiest; to be drained, the soonest empty.
+  auto key = [now, drain](const Machine* m) {
+    return std::tuple((drain ? m->drain_until : m->shed_until) < now,
+                      drain ? std::max(now, arrays_end(*m)) : 0, m->service_cpus, m->cpus, m->id);
+  };
+  std::sort(candidates.begin(), candidates.end(),
+            [&](const Machine* a, const Machine* b) { return key(a) < key(b); });
   for (Machine* m : candidates) {
     if (m->type->cpus > cpus) continue;
     cpus -= m->type->cpus;
     m->shed_until = now + constants::kShedMs;
+    if (drain) m->drain_until = m->shed_until;
   }
 }
 
+// A replica that another machine of the part has room for, and the image, is stopped here and
+// starts there; one at a time, so that a service of several is never down.
+void Part::drain(Machine& m, const Proof& proof, Ms now, std::vector<Order>& out) {
+  if (m.drain_until <= now || !usable(m, now)) return;
+  for (const auto& [key, b] : m.tasks)
+    if (b.killing) return;
+  for (auto& [key, b] : m.tasks) {
+    if (!b.service || !b.job || b.job->held || !room_beside(m, *b.job, proof, now)) continue;
+    const JobSpec& s = b.job->spec;
+    b.killing = true;
+    b.grace_s = s.checkpoint_s > 0 && b.phase == TaskPhase::running ? s.save_s : 0;
+    out.push_back({Verb::kill, key.first, key.second, b.attempt, b.grace_s});
+    return;
+  }
+}
+
+bool Part::room_beside(const Machine& m, const Job& j, const Proof& proof, Ms now) const {
+  return std::any_of(machines_.begin(), machines_.end(), [&](const auto& other) {
+    const Machine& o = *other.second;
+    return &o != &m && takes_work(o, now) && o.images.count(j.image) > 0 && fits(o, j, proof.cpus);
+  });
+}
+
 // The order in which machines are to be filled: the most services first, then the fullest, so that
 // others run empty.
 std::vector<std::string> Part::fullest_first(std::vector<std::string> ids) const {
@@ -409,8 +444,10 @@
   std::vector<Order> out;
   now_ = now;
   auto it = machines_.find(machine);
-  if (it == machines_.end() || !takes_work(*it->second, now) || waiting().empty()) return out;
+  if (it == machines_.end()) return out;
   Machine& m = *it->second;
+  drain(m, proof(), now, out);
+  if (!takes_work(m, now) || waiting().empty()) return out;
   const Proof known = proof();
   reserve_room(m, known, now);
   if (m.cpus + least_cpus_ <= m.type->cpus + kEps) {
--- a/src/core/queue.cc
+++ b/src/core/queue.cc
@@ -154,6 +154,9 @@
     double want = std::min(j->queued * j->spec.cpus, room[j->team]);
     room[j->team] -= want;
     n.waiting_cpus += want;
+    // Guard: a job that waits beside room of other parts, on machines that never run empty.
+    if (j->bound == 0 && want >= j->spec.cpus)
+      n.waited_s = std::max(n.waited_s, static_cast<double>(now - j->waiting_since) / 1000);
     if (j->spec.spot) n.waiting_spot_cpus += want;
     if (j->spec.kind == Kind::service) n.waiting_service_cpus += want;
     n.waiting_core_s += j->queued * j->spec.cpus * j->spec.estimate_s;
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -115,7 +115,7 @@
       mesh::Status{{{2, need}}, {1.5, 2}},
       mesh::Move{1, -1, 64, true},
       mesh::Gone{{"m-3"}},
-      mesh::Shed{1, 24.0},
+      mesh::Shed{1, 24.0, true},
       mesh::PledgeAsk{4, 3000, {{1, 77}}, 93},
       mesh::Pledge{4, true, {{"run-1", JobPhase::cancelled, 95}, {"run-2", JobPhase::done, 96}}}};
   for (const auto& b : bodies) {
--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -329,6 +329,35 @@
   expect_rules_kept(w);
 }
 
+// Nothing more can be rented, and every machine of the other parts runs a service, so none is idle:
+// work that waits gets its room all the same.
+TEST(MoreWorkThanRoom, RoomBesideServicesOfOtherPartsIsUsed) {
+  Options o;
+  o.capacity = 0;
+  World w(o);
+  w.at(5, [&] {
+    for (int i = 0; i < 6; ++i) {
+      JobSpec s = service(w, "run-80" + std::to_string(i), std::array{"blue", "gold"}[i % 2], 5);
+      w.submit(s);
+    }
+  });
+  w.at(12, [&] {
+    for (int i = 0; i < 4; ++i) w.cancel("run-80" + std::to_string(i));
+  });
+  w.at(16, [&] {
+    for (int i = 0; i < 4; ++i)
+      w.submit(service(w, "run-81" + std::to_string(i), std::array{"blue", "gold"}[i % 2], 1.5));
+    for (int i = 0; i < 5; ++i) {
+      JobSpec s = w.job("run-" + std::to_string(i), "red", 8, 1, 400);
+      s.spot = false;
+      w.submit(s);
+    }
+  });
+  w.troubles_over();
+  w.run_until(200);
+  expect_rules_kept(w);
+}
+
 // -------------------------------------------------------------------- the other meetings
 // Each case is a day in the world: a load, its troubles, and what shows that they met. The troubles
 // are over at `over`; from then on every rule holds.
--- a/tests/part_test.cc
+++ b/tests/part_test.cc
@@ -244,7 +244,7 @@
   part.add_machine("m-1", 12, true, 0);
   part.open_job(job("run-1", 1), 11, false, {});
   part.on_report(report("m-1"), 100);
-  part.shed(8, 100);
+  part.shed(8, false, 100);
   EXPECT_TRUE(part.place("m-1", 100).empty());
   EXPECT_EQ(part.place("m-1", 100 + constants::kShedMs).size(), 1u);
 }
