Machines and jobs that failed are taken up again within the 90 s of the rule

Now the longest pause and the avoidance are 60 s, and a machine that was shunned gets one task a report until one succeeds.

--- a/src/constants.h
+++ b/src/constants.h
@@ -46,7 +46,8 @@
 constexpr Ms kBegunMs = 35000;      // ms; a start stopped within 30 s of its running does not count
 constexpr int kSickErrors = 3;      // failures without a success before a machine is shunned
 constexpr Ms kShunMs = 20000;       // ms; first pause of a shunned machine, doubles
-constexpr Ms kShunMaxMs = 300000;   // ms; longest pause of a shunned machine
+constexpr Ms kShunMaxMs = 60000;    // ms; longest pause of a shunned machine, under the 90 s that a
+                                    // job may wait beside room
 constexpr Ms kJobBackoffMs = 1000;  // ms; first pause of a job that failed on several machines
 constexpr Ms kJobBackoffMaxMs = 30000;  // ms; longest such pause
 constexpr int kJobBadMachines = 3;      // a job that failed on so many machines is itself suspect
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -368,7 +368,8 @@
 // A machine that fails everything is told apart from a job that fails everywhere: a job that
 // failed on several machines no longer counts against machines, and pauses itself instead.
 void Part::note_error(Machine& m, Job& j, Ms now) {
-  j.bad_machines.insert(m.id);
+  // Guard: not for ever; the machine may be well again, and the only one with room.
+  j.bad_machines[m.id] = now + constants::kShunMaxMs;
   if (static_cast<int>(j.bad_machines.size()) >= constants::kJobBadMachines && j.done == 0) {
     j.backoff =
         j.backoff ? std::min(j.backoff * 2, constants::kJobBackoffMaxMs) : constants::kJobBackoffMs;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -194,7 +194,8 @@
     std::uint32_t first_queued = 0;  // none below this is queued
     std::uint32_t queued = 0, bound = 0, running = 0, done = 0, unrecorded = 0;
     std::map<std::string, int> zones;  // bound tasks by zone
-    std::set<std::string> bad_machines;
+    std::map<std::string, Ms>
+        bad_machines;  // on which it has failed, and until when it avoids them
     Ms not_before = 0, backoff = 0;
     Ms accepted = 0;
     std::vector<Ms> bounds;  // when it should be complete, the tightest aim first
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -371,7 +371,8 @@
       m.spare = false;
       const bool starved = j->starving;
       start_one(m, *j, out);
-      if (m.unheard > 0) return;  // one task on trial
+      // One task on trial, also on one that has failed all since it was shunned.
+      if (m.unheard > 0 || m.shun_ms > 0) return;
       if (starved) break;
     }
   }
--- a/src/core/queue.cc
+++ b/src/core/queue.cc
@@ -109,7 +109,9 @@
   if (j.queued == 0 || j.held || j.not_before > now) return false;
   // Invariant 5: an older job's tasks may run on any machine not heard of yet that could hold them.
   if (j.older && (j.spec.spot ? proof.unproven : proof.unproven_ordinary) > 0) return false;
-  return !j.bad_machines.count(m.id) || j.bad_machines.size() >= machines_.size();
+  auto bad = j.bad_machines.find(m.id);
+  return bad == j.bad_machines.end() || bad->second <= now ||
+         j.bad_machines.size() >= machines_.size();
 }
 
 // Where the usual slack before a deadline is long beside a boot time, a machine let go costs
--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -163,6 +163,11 @@
   return s;
 }
 
+std::string machine(int n) {
+  std::string digits = std::to_string(n);
+  return "m-" + std::string(6 - digits.size(), '0') + digits;
+}
+
 // A service and a short array of each team.
 void short_load(World& w) {
   w.at(5, [&w] {
@@ -329,6 +334,56 @@
   expect_rules_kept(w);
 }
 
+// Machines that failed everything for minutes are well again: nobody waits beside them for the rest
+// of a pause that has doubled and doubled.
+TEST(MoreWorkThanRoom, MachinesThatAreWellAgainTakeWorkInTime) {
+  Options o;
+  o.machines = 2;
+  o.nodes = 1;
+  o.capacity = 0;
+  World w(o);
+  for (int i = 0; i < 2; ++i) {
+    w.at(4, [&w, i] { w.set_sick(machine(i), true); });
+    w.at(150, [&w, i] { w.set_sick(machine(i), false); });
+  }
+  for (int i = 0; i < 7; ++i)
+    w.at(5 + 20 * i, [&w, i] {
+      w.submit(w.job("run-" + std::to_string(i), std::array{"red", "blue", "gold"}[i % 3], 2));
+    });
+  w.at(150, [&w] { w.troubles_over(); });
+  w.run_until(250);
+  expect_rules_kept(w);
+  for (int i = 0; i < 7; ++i) EXPECT_EQ(w.phase("run-" + std::to_string(i)), "done") << i;
+}
+
+// A job that failed on machines which are well again does not avoid them for ever: the third is
+// full.
+TEST(MoreWorkThanRoom, AJobReturnsToMachinesOnWhichItFailed) {
+  Options o;
+  o.machines = 3;
+  o.capacity = 0;
+  o.nodes = 1;
+  World w(o);
+  w.at(4, [&w] { w.submit(service(w, "run-800", "red", 8)); });
+  std::string full;
+  w.at(8, [&] {
+    full = w.machines_of("run-800").at(0);
+    for (int i = 0; i < 3; ++i)
+      if (machine(i) != full) w.set_sick(machine(i), true);
+    JobSpec s = w.job("run-1", "blue", 1, 1, 10);
+    s.deadline_s = 11;  // no slack: idle machines are kept
+    w.submit(s);
+  });
+  w.at(60, [&] {
+    EXPECT_GE(w.checker().starts(), 3u);  // it has failed
+    for (int i = 0; i < 3; ++i) w.set_sick(machine(i), false);
+    w.troubles_over();
+  });
+  w.run_until(200);
+  expect_rules_kept(w);
+  EXPECT_EQ(w.phase("run-1"), "done");
+}
+
 // Nothing more can be rented, and every machine of the other parts runs a service, so none is idle:
 // work that waits gets its room all the same.
 TEST(MoreWorkThanRoom, RoomBesideServicesOfOtherPartsIsUsed) {
@@ -391,11 +446,6 @@
   }
 }
 
-std::string machine(int n) {
-  std::string digits = std::to_string(n);
-  return "m-" + std::string(6 - digits.size(), '0') + digits;
-}
-
 std::set<std::string> workers(int first, int step, int most = 40) {
   std::set<std::string> out;
   for (int i = first; i < most; i += step) out.insert("w-" + machine(i));
