--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -97,7 +97,7 @@
   for (double t = kAt; t < outage_at() + 40; t += 0.5)
     w.at(t, [&] {
       for (int n : {0, 2, 1})
-        w.poll_once(n, "run-1", [&](int, const std::string& phase) {
+        w.poll_once(n, "run-1", [&, n](int, const std::string& phase) {
           told |= phase == "done" && n != kOwner && w.now() < outage_at();
         });
     });
