--- a/src/actors/owner_parts.cc
+++ b/src/actors/owner_parts.cc
@@ -139,7 +139,7 @@
   o.core = std::make_unique<Part>(
       part, stamp, rt_.now(),
       PartLimits{static_cast<Ms>(s_.lease_s * 1000), static_cast<Ms>(s_.report_s * 1000),
-                 s_.finish_aims, s_.wait_aims},
+                 s_.finish_aims, s_.wait_aims, static_cast<Ms>(s_.guarantee_s * 1000)},
       s_.teams_of(part));
   o.core->set_types(types_);
   // The picture is whole once the view has our claim: nothing of the part's changes after it
--- a/src/actors/settings.cc
+++ b/src/actors/settings.cc
@@ -166,6 +166,8 @@
         s.finish_aims[jobclass].push_back({(*o)["within_s"].value_or(0.0), 0});
       else if (kind == "wait")
         s.wait_aims[jobclass] = (*o)["within_s"].value_or(0.0);
+      else if (kind == "guarantee")
+        s.guarantee_s = (*o)["within_s"].value_or(s.guarantee_s);
       else if (kind == "deadline")
         s.finish_aims[jobclass].push_back({0, (*o)["times"].value_or(1.0)});
     }
--- a/src/actors/settings.h
+++ b/src/actors/settings.h
@@ -21,7 +21,8 @@
   double skew_ms = 0;
   std::vector<Team> teams;
   std::map<std::string, std::vector<FinishAim>> finish_aims;  // by class of jobs
-  std::map<std::string, double> wait_aims;  // by class: its tasks should start within so long
+  double guarantee_s = constants::kGuaranteeS;  // work within a guarantee starts by then
+  std::map<std::string, double> wait_aims;      // by class: its tasks should start within so long
   double report_s = 1, lease_s = 10, cancel_s = 40;
   double state_rps = 50, state_write_rps = 20, state_value_kb = 8;
   int state_txn_ops = 16;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -22,6 +22,7 @@
   Ms report_ms = 1000;
   std::map<std::string, std::vector<FinishAim>> aims;  // by class
   std::map<std::string, double> waits;                 // seconds to a start, by class
+  Ms guarantee_ms = 5000;  // work within a guarantee should start by then
 };
 
 enum class Verdict {
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -420,8 +420,12 @@
 // What still waits, after a moment in which another machine may have had room: it may stop work of
 // lower rank here, and, within its guarantee, what other teams have borrowed.
 void Part::make_room(Machine& m, const Proof& proof, Ms now, std::vector<Order>& out) {
+  // Guard: a guarantee is reclaimed no sooner than its aim asks for. What borrows ends by itself in
+  // most cases; stopped at once, most arrays that were late had lost their last tasks again and
+  // again.
   const Ms reclaim_after =
-      std::max(constants::kReclaimSoonestMs, constants::kReclaimByMs - limits_.report_ms * 5 / 4);
+      std::max(constants::kReclaimSoonestMs,
+               limits_.guarantee_ms - constants::kReclaimMarginMs - limits_.report_ms * 5 / 4);
   for (Job* j : waiting()) {
     ++steps_;
     auto within = [&] { return team_cpus_[j->team] + j->spec.cpus <= teams_[j->team].cpus + kEps; };
--- a/tests/answers_test.cc
+++ b/tests/answers_test.cc
@@ -160,6 +160,14 @@
   EXPECT_GT(r.settings.teams.at(0).gpus_max, 1e9);
 }
 
+TEST(SettingsFile, TheAimOfTheGuaranteesIsRead) {
+  EXPECT_EQ(load_settings(file_with(kGood)).settings.guarantee_s, 5);
+  const std::string aim = "[[params.objectives]]\nkind = \"guarantee\"\nwithin_s = 15.0\n";
+  auto r = load_settings(file_with(with("[params.workers]", aim + "[params.workers]")));
+  EXPECT_TRUE(r.problems.empty());
+  EXPECT_EQ(r.settings.guarantee_s, 15);
+}
+
 TEST(SettingsFile, EveryProblemIsOneLineWithFileAndField) {
   struct Case {
     std::string text, field;
--- a/tests/part_test.cc
+++ b/tests/part_test.cc
@@ -442,6 +442,31 @@
   EXPECT_EQ(s[0].job, "run-1");
 }
 
+// Work that borrows is not stopped sooner than the aim of the guarantee asks for.
+TEST_F(PartTest, AGuaranteeIsReclaimedInTimeForItsAim) {
+  PartLimits limits = kLimits;
+  limits.guarantee_ms = 15000;
+  Part patient{0, kTerm, 0, limits, {{"red", 4, 12, 0, 0}, {"blue", 4, 12, 0, 0}}};
+  MachineType box;
+  box.name = "box";
+  box.cpus = 8;
+  box.memory_gb = 64;
+  box.zones = {"a"};
+  patient.set_types({box});
+  patient.add_machine("m-1", 12, true, 0);
+  patient.open_job(job("run-1", 8, "red"), 11, false, {});
+  patient.on_report(report("m-1", {}, 12), 100);
+  const auto running = running_of(patient.place("m-1", 100));
+  ASSERT_EQ(running.size(), 8u);
+  patient.open_job(job("run-2", 4, "blue"), 12, false, {});
+  for (Ms now : {1000, 4000, 8000, 12000}) {
+    patient.on_report(report("m-1", running, 12), now);
+    EXPECT_TRUE(patient.place("m-1", now).empty()) << now;
+  }
+  patient.on_report(report("m-1", running, 12), 13500);
+  EXPECT_EQ(patient.place("m-1", 13500).size(), 8u);  // four stopped, four started
+}
+
 // What fits into room that is free elsewhere, on a machine that has not reported since, is no
 // reason to stop a borrower.
 TEST_F(PartTest, NoBorrowerIsStoppedWhileThereIsRoomElsewhere) {
