Workers of a silent controller are held for its takeover, not sent back to it

A worker that left the silent owner after 4 s reached a peer up to a second before the part was claimed; the peer named the silent owner, the worker waited there for 4 s more, and its lease of 10 s was over: all its tasks were killed.

Excluded: the claim itself (5.4 s after the end, as the grant allows); workers lost alone (given up in 3 s).

Mended: while the owner is a peer not heard of, a report is held for the takeover, for 2 s at most.

--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -52,21 +52,26 @@
 void Owner::report(const Report& r, Reply reply) {
   ++counters_.reports;
   silent_ = 0;
+  // A newer report of the worker: it no longer waits for the answer to the held one.
+  if (auto held = held_reports_.find(r.machine); held != held_reports_.end()) {
+    auto old = std::move(held->second.reply);
+    held_reports_.erase(held);
+    old(503, "");
+  }
+  dispatch(r, std::move(reply));
+}
+
+void Owner::dispatch(const Report& r, Reply reply) {
   const View& v = registrar_.view();
   if (!v.ready) return reply(503, "");
-  auto upstream = [&](int part) {
-    auto it = v.parts.find(part);
-    if (it == v.parts.end() || it->second.owner == s_.node) return reply(503, "");
-    reply(421, codec::upstream_body(it->second.owner));
-  };
   auto m = v.machines.find(r.machine);
   if (m == v.machines.end()) {
     if (leading()) return hooks_.assign(r, std::move(reply));
-    return upstream(0);
+    return redirect(r, 0, std::move(reply));
   }
   if (m->second.record.part < 0) return reply(503, "");  // released; it is being returned
   Owned* o = acting_owned(m->second.record.part);
-  if (!o) return upstream(m->second.record.part);
+  if (!o) return redirect(r, m->second.record.part, std::move(reply));
   // A newer report of the worker: it no longer waits for the answer to the parked one.
   if (auto p = o->parked.find(r.machine); p != o->parked.end()) {
     auto old = std::move(p->second.reply);
@@ -91,6 +96,46 @@
   answer(*o, r.machine, std::move(a.orders), std::move(reply));
 }
 
+// Whether the node that owns a part, or owned it last, is a peer that is not heard of.
+bool Owner::owner_silent(int part) const {
+  const auto owner = last_owner_.find(part);
+  return owner != last_owner_.end() && owner->second != s_.node && !peer_alive(owner->second);
+}
+
+// Guard: a worker that is sent to an owner that has stopped waits 4 s for it, for the second time,
+// and its lease ends. Where the owner is silent, the report is held for a takeover.
+void Owner::redirect(const Report& r, int part, Reply reply) {
+  if (!owner_silent(part)) return name_owner(part, reply);
+  held_reports_[r.machine] = {r, part, std::move(reply), rt_.now() + k::kHoldReportMs};
+}
+
+void Owner::name_owner(int part, const Reply& reply) const {
+  const auto& parts = registrar_.view().parts;
+  auto it = parts.find(part);
+  if (it == parts.end() || it->second.owner == s_.node) return reply(503, "");
+  reply(421, codec::upstream_body(it->second.owner));
+}
+
+// Held reports go where they belong once that is known. Silence is no proof that the owner has
+// stopped, so in the end its name is told all the same.
+void Owner::release_held_reports() {
+  std::vector<HeldReport> ready;
+  for (auto it = held_reports_.begin(); it != held_reports_.end();) {
+    if (owner_silent(it->second.part) && rt_.now() < it->second.until) {
+      ++it;
+      continue;
+    }
+    ready.push_back(std::move(it->second));
+    it = held_reports_.erase(it);
+  }
+  for (HeldReport& held : ready) {
+    if (owner_silent(held.part))
+      name_owner(held.part, held.reply);
+    else
+      dispatch(held.report, std::move(held.reply));
+  }
+}
+
 void Owner::answer(Owned& o, const std::string& machine, std::vector<Order> orders, Reply reply) {
   counters_.preemptions += o.core->take_preemptions();
   for (const auto& order : orders)
@@ -418,6 +463,7 @@
   hand_back();
   leave_unheard();
   ask_pledges();
+  release_held_reports();
   const Ms now = rt_.now();
   for (auto& [part, o] : owned_) {
     if (!o.active) continue;
--- a/src/actors/owner.h
+++ b/src/actors/owner.h
@@ -61,6 +61,12 @@
     Reply reply;
     Ms until = 0;
   };
+  struct HeldReport {  // one that no controller can answer until a part has an owner again
+    Report report;
+    int part = 0;
+    Reply reply;
+    Ms until = 0;
+  };
   struct FinalCommit {
     JobPhase phase = JobPhase::done;
     Commit commit;
@@ -83,6 +89,11 @@
     mesh::Status status;
   };
 
+  void dispatch(const Report& r, Reply reply);
+  void redirect(const Report& r, int part, Reply reply);
+  bool owner_silent(int part) const;
+  void name_owner(int part, const Reply& reply) const;
+  void release_held_reports();
   bool entitled() const;
   void ask_pledges();
   Owned* owned(int part);
@@ -122,6 +133,7 @@
   Registrar& registrar_;
   Hooks hooks_;
   std::map<int, Owned> owned_;
+  std::map<std::string, HeldReport> held_reports_;  // by machine
   std::map<int, Ms> vacant_since_;
   std::map<int, std::string> last_owner_;
   std::set<int> claiming_;                  // a claim of ours is on its way
--- a/src/actors/owner_parts.cc
+++ b/src/actors/owner_parts.cc
@@ -100,7 +100,9 @@
     const Ms since = vacant_since_.emplace(part, now).first->second;
     // Invariant 6: a promise is kept, also one that an earlier process of this node has given.
     if (now < promised_[part]) continue;
-    if (last_owner_[part] != s_.node && now - started_ < k::kPledgeMs + k::kGrantMarginMs) continue;
+    const auto last = last_owner_.find(part);
+    const bool ours = last != last_owner_.end() && last->second == s_.node;
+    if (!ours && now - started_ < k::kPledgeMs + k::kGrantMarginMs) continue;
     const std::string home = s_.home_of(part);
     Ms wait = 0;
     if (home != s_.node)
--- a/src/constants.h
+++ b/src/constants.h
@@ -40,6 +40,8 @@
 constexpr Ms kParkIdleMs = 2500;        // ms; longest parking of an idle machine, well under 4 s
 constexpr Ms kCommandTimeoutMs = 2000;  // ms; kills by /commands; the next report repeats them
 constexpr Ms kWorkerPatienceMs = 4000;  // ms; a worker drops an answer that takes longer; protocol
+constexpr Ms kHoldReportMs = 2000;      // ms; a report waits so long for a new owner: a takeover is
+                                        // over by then, and the worker still waits
 constexpr int kDeafAnswers = 3;  // answers in a row without a trace; one or two are lost by chance
 constexpr int kRaises = 2;       // answers that tell a machine a term which it then does not show
 constexpr Ms kStarvingMs = 120000;  // ms; half of the four minutes in which every job should begin
--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -696,7 +696,7 @@
       {"TransactionsAreCarriedOutLateAfterNewerOnes", 90,
        [](World& w, Load& load) {
          usual(w, load);
-         w.at(6, [&w] { w.late_writes({0.35, 0.5, 12}); });
+         w.at(6, [&w] { w.late_writes({0.45, 0.5, 12}); });
          for (int i = 1; i <= 12; ++i) {
            const std::string id = "run-" + std::to_string(i);
            w.at(6 + 4 * i, [&w, id, i] { w.submit(w.job(id, i % 2 ? "red" : "blue", 4, 1, 5)); });
--- a/tests/trace_test.cc
+++ b/tests/trace_test.cc
@@ -442,6 +442,20 @@
   compare(w, "a_controller_stands_still");
 }
 
+// Workers that leave a silent owner are not sent back to it: their leases would end meanwhile.
+TEST_F(Trace, WorkersOfASilentControllerFindTheNextInTime) {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    Options o;
+    o.seed = seed;
+    o.machines = 24;
+    World w(o);
+    usual_load(w, 5);
+    w.at(9 + 0.13 * static_cast<double>(seed), [&] { w.freeze(1, 30); });
+    w.run_until(60);
+    expect_no_lease_ends(w);
+  }
+}
+
 // Processes back within a fraction of a second: while a part is claimed, while pledges are out,
 // while a part is handed back; late copies of reports follow.
 TEST_F(Trace, ProcessesAreBackInMidElection) {
