--- a/src/actors/fleet.cc
+++ b/src/actors/fleet.cc
@@ -9,8 +9,8 @@
 
 namespace k = constants;
 
-Fleet::Fleet(Runtime& rt, const Settings& s, Registrar& registrar, Owner& owner)
-    : rt_(rt), s_(s), registrar_(registrar), owner_(owner) {}
+Fleet::Fleet(Runtime& rt, const Settings& s, StateStoreClient& state_store, Owner& owner)
+    : rt_(rt), s_(s), state_store_(state_store), owner_(owner) {}
 
 void Fleet::start(Hooks hooks) {
   hooks_ = std::move(hooks);
@@ -74,7 +74,7 @@
     d.cpus[1] += t->cpus;
     if (!r.spot) d.cpus[0] += t->cpus;
   };
-  for (const auto& [id, m] : registrar_.view().machines) add(m.record);
+  for (const auto& [id, m] : state_store_.view().machines) add(m.record);
   for (const auto& [id, a] : assigning_)
     if (a.sent) add(a.record);
   const auto needs = owner_.needs();
@@ -146,7 +146,7 @@
 void Fleet::send_assignments(std::vector<std::string> ids) {
   Commit c;
   c.pace = Pace::fleet;
-  c.nonce = registrar_.nonce();
+  c.nonce = state_store_.nonce();
   for (const auto& id : ids) {
     c.guards.push_back({codec::machine_key(id), 0});
     c.writes.push_back(
@@ -172,14 +172,14 @@
       owner_.report(a.report, std::move(a.reply));
     }
   };
-  registrar_.commit(std::move(c));
+  state_store_.commit(std::move(c));
 }
 
 // ------------------------------------------------------------------------------ balance
 
 void Fleet::advise(int from, int to, double cpus, bool spot) {
-  auto p = registrar_.view().parts.find(from);
-  if (p == registrar_.view().parts.end()) return;
+  auto p = state_store_.view().parts.find(from);
+  if (p == state_store_.view().parts.end()) return;
   ++counters_.moves;
   const mesh::Move move{from, to, cpus, spot};
   if (p->second.owner == s_.node)
@@ -240,8 +240,8 @@
 }
 
 void Fleet::shed(int from, double cpus, bool drain) {
-  auto p = registrar_.view().parts.find(from);
-  if (p == registrar_.view().parts.end()) return;
+  auto p = state_store_.view().parts.find(from);
+  if (p == state_store_.view().parts.end()) return;
   if (p->second.owner == s_.node)
     owner_.shed({from, cpus, drain});
   else
@@ -306,8 +306,8 @@
   // made up for them in the sums.
   for (const auto& [p, n] : needs)
     for (const auto& [id, cpus] : n.stranded) {
-      auto j = registrar_.view().jobs.find(id);
-      if (j == registrar_.view().jobs.end()) continue;
+      auto j = state_store_.view().jobs.find(id);
+      if (j == state_store_.view().jobs.end()) continue;
       double stranded = cpus;
       std::erase_if(on_their_way, [&](const Coming& m) {
         if (stranded <= 0 || !allowed(j->second.spec, *m.type, m.zone, m.spot)) return false;
@@ -435,7 +435,7 @@
     if (const MachineType* t = type(r.type)) out.push_back({t, r.zone, r.spot});
   // Guard: at a start of the whole service hundreds of machines are up that no part has yet.
   for (const auto& [id, m] : known_)
-    if (m.listed.phase != "failed" && !rented_.count(id) && !registrar_.view().machines.count(id))
+    if (m.listed.phase != "failed" && !rented_.count(id) && !state_store_.view().machines.count(id))
       if (const MachineType* t = type(m.listed.type))
         out.push_back({t, m.listed.zone, m.listed.spot});
   return out;
@@ -447,8 +447,8 @@
 
 void Fleet::rent(const MachineType& t, const std::string& zone, bool spot, int count) {
   // Invariant 10: the stamp of our claim is never given twice, and the counter not within it.
-  auto part = registrar_.view().parts.find(0);
-  if (part == registrar_.view().parts.end() || part->second.owner != s_.node) return;
+  auto part = state_store_.view().parts.find(0);
+  if (part == state_store_.view().parts.end() || part->second.owner != s_.node) return;
   renting_.insert(slot(t, zone, spot));
   send_charter(t, zone, spot, count,
                "r-" + std::to_string(part->second.stamp) + "-" + std::to_string(++charter_counter_),
@@ -513,7 +513,7 @@
 
 void Fleet::listed_all() {
   const Ms now = rt_.now();
-  const View& v = registrar_.view();
+  const View& v = state_store_.view();
   const Ms lag = static_cast<Ms>(s_.list_lag_s * 2000 * (1 + k::kDrift));
   std::vector<std::string> gone;
   // Guard: a key may stand for a machine that was gone before we led, and that a late copy of a
@@ -562,14 +562,14 @@
   if (!changing_.insert(id).second) return;
   Commit c;
   c.pace = Pace::fleet;
-  c.nonce = registrar_.nonce();
+  c.nonce = state_store_.nonce();
   c.guards = {{codec::machine_key(id), stamp}};
   codec::MachineRecord released = record;
   released.part = -1;
   c.writes = {{codec::machine_key(id), codec::encode(released, c.nonce), false}};
   c.done = [this, id](Outcome, std::uint64_t) { changing_.erase(id); };
   spdlog::info("machine released machine={}", id);
-  registrar_.commit(std::move(c));
+  state_store_.commit(std::move(c));
 }
 
 // The keys of machines that are gone are of no use.
@@ -577,8 +577,8 @@
   Commit c;
   std::vector<std::string> mine;
   for (const auto& id : ids) {
-    auto m = registrar_.view().machines.find(id);
-    if (m == registrar_.view().machines.end() || !changing_.insert(id).second) continue;
+    auto m = state_store_.view().machines.find(id);
+    if (m == state_store_.view().machines.end() || !changing_.insert(id).second) continue;
     spdlog::info("machine forgotten machine={}", id);
     gone_.insert(id);
     mine.push_back(id);
@@ -588,11 +588,11 @@
   }
   if (mine.empty()) return;
   c.pace = Pace::fleet;
-  c.nonce = registrar_.nonce();
+  c.nonce = state_store_.nonce();
   c.done = [this, mine](Outcome, std::uint64_t) {
     for (const auto& id : mine) changing_.erase(id);
   };
-  registrar_.commit(std::move(c));
+  state_store_.commit(std::move(c));
   const std::vector<std::string> rest(std::find(ids.begin(), ids.end(), mine.back()) + 1,
                                       ids.end());
   if (!rest.empty()) forget(rest);
@@ -601,7 +601,7 @@
 void Fleet::return_released() {
   if (returning_) return;
   std::vector<std::string> ids, again;
-  for (const auto& [id, m] : registrar_.view().machines)
+  for (const auto& [id, m] : state_store_.view().machines)
     if (m.record.part < 0 && !changing_.count(id)) {
       if (gone_.count(id))
         again.push_back(id);  // returned before, but its key is still there
--- a/src/actors/fleet.h
+++ b/src/actors/fleet.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "actors/owner.h"
-#include "actors/registrar.h"
+#include "actors/state_store_client.h"
 
 namespace eiderreel {
 
@@ -22,7 +22,7 @@
     std::uint64_t rented = 0, returned = 0, moves = 0;
   };
 
-  Fleet(Runtime& rt, const Settings& s, Registrar& registrar, Owner& owner);
+  Fleet(Runtime& rt, const Settings& s, StateStoreClient& state_store, Owner& owner);
   void start(Hooks hooks);
   void tick();
   void assign(const Report& r, Reply reply);  // an unknown machine has reported to us, the leader
@@ -83,7 +83,7 @@
 
   Runtime& rt_;
   const Settings& s_;
-  Registrar& registrar_;
+  StateStoreClient& state_store_;
   Owner& owner_;
   Hooks hooks_;
   std::vector<MachineType> types_;
--- a/src/actors/desk.cc
+++ b/src/actors/job_api.cc
@@ -1,4 +1,4 @@
-#include "actors/desk.h"
+#include "actors/job_api.h"
 
 #include <spdlog/spdlog.h>
 
@@ -12,15 +12,15 @@
 
 }  // namespace
 
-Desk::Desk(Runtime& rt, const Settings& s, Registrar& registrar, Owner& owner)
+JobApi::JobApi(Runtime& rt, const Settings& s, StateStoreClient& state_store, Owner& owner)
     : rt_(rt),
       s_(s),
-      registrar_(registrar),
+      state_store_(state_store),
       owner_(owner),
       // Answers may come late, even to a process started since: no number is used twice.
       next_ask_(static_cast<std::uint64_t>(rt.random() * 9e15)) {}
 
-Reply Desk::counted(std::map<int, std::uint64_t>& by_status, Latency& latency, Reply reply) {
+Reply JobApi::counted(std::map<int, std::uint64_t>& by_status, Latency& latency, Reply reply) {
   return [this, &by_status, &latency, began = rt_.now(), reply = std::move(reply)](
              int status, std::string body) {
     ++by_status[status];
@@ -29,7 +29,7 @@
   };
 }
 
-std::string Desk::can_never_run(const JobSpec& j) const {
+std::string JobApi::can_never_run(const JobSpec& j) const {
   const Team* team = nullptr;
   for (const auto& t : s_.teams)
     if (t.name == j.team) team = &t;
@@ -44,13 +44,13 @@
   return "a task fits no allowed machine type";
 }
 
-void Desk::submit(const std::string& body, Reply r) {
+void JobApi::submit(const std::string& body, Reply r) {
   Reply reply = counted(counters_.submits, counters_.submit_latency, std::move(r));
   auto parsed = codec::parse_job(body);
   if (!parsed.spec) return reply(400, codec::error_body(parsed.error));
   JobSpec& j = *parsed.spec;
   j.accepted_at = rt_.wall();
-  const View& v = registrar_.view();
+  const View& v = state_store_.view();
   if (!v.ready) return refuse(reply, "not ready yet");
   if (v.finals.count(j.id) || v.jobs.count(j.id)) return look_up(j.id, false, std::move(reply));
   if (types_.empty()) return refuse(reply, "the machine types are not known yet");
@@ -60,7 +60,7 @@
   }
   // Any node may accept: the guards say that nobody has, and that it was never over before.
   Commit c;
-  c.nonce = registrar_.nonce();
+  c.nonce = state_store_.nonce();
   c.guards = {{codec::job_key(j.id), 0}, {codec::final_key(j.id), 0}};
   c.writes = {{codec::job_key(j.id), codec::encode(j, c.nonce), false}};
   if (c.writes[0].value.size() > static_cast<std::size_t>(s_.state_value_kb * 1024))
@@ -79,27 +79,27 @@
     spdlog::debug("job refused job={} outcome={}", id, static_cast<int>(o));
     refuse(reply, "the state service did not confirm; try again");
   };
-  registrar_.commit(std::move(c));
+  state_store_.commit(std::move(c));
 }
 
-void Desk::poll(const std::string& id, Reply r) {
+void JobApi::poll(const std::string& id, Reply r) {
   Reply reply = counted(counters_.polls, counters_.poll_latency, std::move(r));
   if (!codec::valid_job_id(id)) return reply(404, codec::error_body("no such job"));
-  if (!registrar_.view().ready) return refuse(reply, "not ready yet");
+  if (!state_store_.view().ready) return refuse(reply, "not ready yet");
   look_up(id, false, std::move(reply));
 }
 
-void Desk::cancel(const std::string& id, Reply r) {
+void JobApi::cancel(const std::string& id, Reply r) {
   Reply reply = counted(counters_.cancels, counters_.cancel_latency, std::move(r));
   if (!codec::valid_job_id(id)) return reply(404, codec::error_body("no such job"));
-  if (!registrar_.view().ready) return refuse(reply, "not ready yet");
+  if (!state_store_.view().ready) return refuse(reply, "not ready yet");
   look_up(id, true, std::move(reply));
 }
 
 // Invariant 8: what is final stays so and may be told from the cache. For an open job only its
 // owner, while its grant is alive, or the state service itself can speak.
-void Desk::look_up(const std::string& id, bool cancel, Reply reply) {
-  const View& v = registrar_.view();
+void JobApi::look_up(const std::string& id, bool cancel, Reply reply) {
+  const View& v = state_store_.view();
   if (auto f = v.finals.find(id); f != v.finals.end())
     return reply(
         200, cancel ? codec::job_answer(id, f->second) : codec::job_status(id, {f->second, 0, 0}));
@@ -111,25 +111,25 @@
 }
 
 // The job's record first, then its final one: it moves from the first to the second only.
-void Desk::read_open(const std::string& id, bool cancel, Reply reply) {
-  registrar_.read(codec::job_key(id), [this, id, cancel, reply](auto row) {
+void JobApi::read_open(const std::string& id, bool cancel, Reply reply) {
+  state_store_.read(codec::job_key(id), [this, id, cancel, reply](auto row) {
     if (!row) return refuse(reply, "the state service does not answer");
     if (row->stamp != 0) {
       if (cancel) return refuse(reply, "the job's owner cannot be reached; try again");
       return reply(200, codec::job_status(id, {JobPhase::queued, 0, 0}));
     }
-    registrar_.read(codec::final_key(id), [this, id, cancel, reply](auto row) {
+    state_store_.read(codec::final_key(id), [this, id, cancel, reply](auto row) {
       if (!row) return refuse(reply, "the state service does not answer");
       if (row->stamp == 0 || !row->final_phase) return reply(404, codec::error_body("no such job"));
-      registrar_.remember_final(id, *row->final_phase, row->stamp);
+      state_store_.remember_final(id, *row->final_phase, row->stamp);
       reply(200, cancel ? codec::job_answer(id, *row->final_phase)
                         : codec::job_status(id, {*row->final_phase, 0, 0}));
     });
   });
 }
 
-void Desk::ask_owner(const std::string& id, bool cancel, Reply reply) {
-  const View& v = registrar_.view();
+void JobApi::ask_owner(const std::string& id, bool cancel, Reply reply) {
+  const View& v = state_store_.view();
   auto part = v.parts.find(s_.part_of_team(v.jobs.at(id).spec.team));
   if (part == v.parts.end()) return reply(0, "");
   if (part->second.owner == s_.node) return owner_.ask({0, cancel, id}, std::move(reply));
@@ -140,7 +140,7 @@
   rt_.after(k::kMeshAskMs, [this, number] { peer_answer({number, 0, ""}); });
 }
 
-void Desk::peer_answer(const mesh::Answer& a) {
+void JobApi::peer_answer(const mesh::Answer& a) {
   auto it = asks_.find(a.number);
   if (it == asks_.end()) return;
   Reply reply = std::move(it->second);
--- a/src/actors/desk.h
+++ b/src/actors/job_api.h
@@ -1,15 +1,15 @@
-// The front desk: what users ask of this node, whoever owns the part in question.
+// The job API: what users ask of this node, whoever owns the part in question.
 #pragma once
 #include <map>
 #include <string>
 
 #include "actors/metrics.h"
 #include "actors/owner.h"
-#include "actors/registrar.h"
+#include "actors/state_store_client.h"
 
 namespace eiderreel {
 
-class Desk {
+class JobApi {
  public:
   struct Hooks {
     // Sends a question to a peer over the mesh.
@@ -20,7 +20,7 @@
     Latency submit_latency, poll_latency, cancel_latency;
   };
 
-  Desk(Runtime& rt, const Settings& s, Registrar& registrar, Owner& owner);
+  JobApi(Runtime& rt, const Settings& s, StateStoreClient& state_store, Owner& owner);
   void start(Hooks hooks) { hooks_ = std::move(hooks); }
 
   // --- messages ---
@@ -30,7 +30,7 @@
   void peer_answer(const mesh::Answer& a);
   void types_known(const std::vector<MachineType>& types) { types_ = types; }
 
-  bool ready() const { return registrar_.view().ready && !types_.empty(); }
+  bool ready() const { return state_store_.view().ready && !types_.empty(); }
   const Counters& counters() const { return counters_; }
 
  private:
@@ -43,7 +43,7 @@
 
   Runtime& rt_;
   const Settings& s_;
-  Registrar& registrar_;
+  StateStoreClient& state_store_;
   Owner& owner_;
   Hooks hooks_;
   std::vector<MachineType> types_;
--- a/src/actors/metrics.cc
+++ b/src/actors/metrics.cc
@@ -79,9 +79,9 @@
 
 std::string metrics_text(const Node& node) {
   Text t;
-  const View& v = node.registrar().view();
+  const View& v = node.state_store().view();
   t.type("ready", "gauge", "1 when this node serves users");
-  t.value("ready", "", node.desk().ready() ? 1 : 0);
+  t.value("ready", "", node.job_api().ready() ? 1 : 0);
   t.type("open_jobs", "gauge", "accepted jobs that are not final, of all parts");
   t.value("open_jobs", "", v.jobs.size());
   t.type("machines", "gauge", "machines assigned to a part, of all parts");
@@ -120,11 +120,11 @@
   counter("rented_total", "machines rented", f.rented);
   counter("returned_total", "machines returned", f.returned);
   t.by_status("state_requests_total", "requests to the state service by status, 0: no answer",
-              node.registrar().counters().replies);
+              node.state_store().counters().replies);
   counter("state_refused_here_total", "requests over our own share of the state service's limits",
-          node.registrar().counters().refused_here);
+          node.state_store().counters().refused_here);
   t.by_status("cloud_requests_total", "requests to the cloud by status, 0: no answer", f.replies);
-  const auto& d = node.desk().counters();
+  const auto& d = node.job_api().counters();
   t.by_status("user_requests_total", "answers to users by kind and status", d.submits,
               "kind=\"submit\"");
   t.status_lines("user_requests_total", d.polls, "kind=\"poll\"");
@@ -141,7 +141,7 @@
 std::string status_json(const Node& node) {
   rapidjson::StringBuffer b;
   rapidjson::Writer<rapidjson::StringBuffer> w(b);
-  const View& v = node.registrar().view();
+  const View& v = node.state_store().view();
   auto number = [&](const char* key, double n) {
     w.Key(key);
     w.Double(n);
@@ -154,7 +154,7 @@
   w.Key("node");
   w.String(node.settings().node.c_str());
   w.Key("ready");
-  w.Bool(node.desk().ready());
+  w.Bool(node.job_api().ready());
   count("open_jobs", v.jobs.size());
   count("machines", v.machines.size());
   count("resident_bytes", resident_bytes());
--- a/src/actors/node.cc
+++ b/src/actors/node.cc
@@ -11,10 +11,10 @@
 Node::Node(Runtime& rt, const Settings& s)
     : rt_(rt),
       s_(s),
-      registrar_(rt, s),
-      owner_(rt, s, registrar_),
-      desk_(rt, s, registrar_, owner_),
-      fleet_(rt, s, registrar_, owner_) {}
+      state_store_(rt, s),
+      owner_(rt, s, state_store_),
+      job_api_(rt, s, state_store_, owner_),
+      fleet_(rt, s, state_store_, owner_) {}
 
 void Node::send(const std::string& node, const mesh::Body& body) {
   rt_.send(node, mesh::encode({s_.node, body}));
@@ -28,25 +28,25 @@
 void Node::start() {
   owner_.start({[this](const Report& r, Reply reply) { fleet_.assign(r, std::move(reply)); },
                 [this](const mesh::Body& b) { broadcast(b); }});
-  desk_.start({[this](const std::string& node, const mesh::Ask& a) { send(node, a); }});
+  job_api_.start({[this](const std::string& node, const mesh::Ask& a) { send(node, a); }});
   fleet_.start({[this](const std::vector<MachineType>& types) {
                   owner_.types_known(types);
-                  desk_.types_known(types);
+                  job_api_.types_known(types);
                 },
                 [this](const std::string& node, const mesh::Body& b) { send(node, b); },
                 [this](const std::vector<std::string>& ids) {
                   owner_.machines_gone(ids);
                   broadcast(mesh::Gone{ids});
                 }});
-  registrar_.start({[this](const std::string& id) { owner_.job_opened(id); },
-                    [this](const std::string& id) { owner_.job_closed(id); },
-                    [this](const std::string& id) { owner_.machine_changed(id); },
-                    [this](int part) { owner_.part_changed(part); },
-                    [this] { owner_.grant_lost(); }});
+  state_store_.start({[this](const std::string& id) { owner_.job_opened(id); },
+                      [this](const std::string& id) { owner_.job_closed(id); },
+                      [this](const std::string& id) { owner_.machine_changed(id); },
+                      [this](int part) { owner_.part_changed(part); },
+                      [this] { owner_.grant_lost(); }});
 }
 
 void Node::tick() {
-  registrar_.tick();
+  state_store_.tick();
   owner_.tick();
   fleet_.tick();
 }
@@ -65,7 +65,7 @@
         node->send(from, mesh::Answer{number, status, std::move(body)});
       });
     }
-    void operator()(const mesh::Answer& a) { n.desk_.peer_answer(a); }
+    void operator()(const mesh::Answer& a) { n.job_api_.peer_answer(a); }
     void operator()(const mesh::Status& s) { n.owner_.peer_status(from, s); }
     void operator()(const mesh::Move& mv) { n.owner_.move(mv); }
     void operator()(const mesh::Shed& sh) { n.owner_.shed(sh); }
@@ -92,7 +92,7 @@
   }
   if (path == "/ready") {
     if (!only("GET")) return;
-    return desk_.ready() ? reply(200, "{}") : reply(503, codec::error_body("not ready yet"));
+    return job_api_.ready() ? reply(200, "{}") : reply(503, codec::error_body("not ready yet"));
   }
   if (path == "/metrics" || path == "/status") {
     if (!only("GET")) return;
@@ -100,7 +100,7 @@
   }
   if (path == "/v1/jobs") {
     if (!only("POST")) return;
-    return desk_.submit(body, std::move(reply));
+    return job_api_.submit(body, std::move(reply));
   }
   static const std::string kJobs = "/v1/jobs/";
   static const std::string kCancel = "/cancel";
@@ -109,8 +109,8 @@
     const bool cancel = id.size() > kCancel.size() &&
                         id.compare(id.size() - kCancel.size(), kCancel.size(), kCancel) == 0;
     if (!only(cancel ? "POST" : "GET")) return;
-    if (cancel) return desk_.cancel(id.substr(0, id.size() - kCancel.size()), std::move(reply));
-    return desk_.poll(id, std::move(reply));
+    if (cancel) return job_api_.cancel(id.substr(0, id.size() - kCancel.size()), std::move(reply));
+    return job_api_.poll(id, std::move(reply));
   }
   reply(404, codec::error_body("no such path"));
 }
--- a/src/actors/node.h
+++ b/src/actors/node.h
@@ -2,10 +2,10 @@
 #pragma once
 #include <string>
 
-#include "actors/desk.h"
 #include "actors/fleet.h"
+#include "actors/job_api.h"
 #include "actors/owner.h"
-#include "actors/registrar.h"
+#include "actors/state_store_client.h"
 
 namespace eiderreel {
 
@@ -22,9 +22,9 @@
   void frame(const std::string& bytes);
 
   const Settings& settings() const { return s_; }
-  const Registrar& registrar() const { return registrar_; }
+  const StateStoreClient& state_store() const { return state_store_; }
   const Owner& owner() const { return owner_; }
-  const Desk& desk() const { return desk_; }
+  const JobApi& job_api() const { return job_api_; }
   const Fleet& fleet() const { return fleet_; }
 
  private:
@@ -33,9 +33,9 @@
 
   Runtime& rt_;
   const Settings& s_;
-  Registrar registrar_;
+  StateStoreClient state_store_;
   Owner owner_;
-  Desk desk_;
+  JobApi job_api_;
   Fleet fleet_;
 };
 
--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -6,10 +6,10 @@
 
 namespace k = constants;
 
-Owner::Owner(Runtime& rt, const Settings& s, Registrar& registrar)
+Owner::Owner(Runtime& rt, const Settings& s, StateStoreClient& state_store)
     : rt_(rt),
       s_(s),
-      registrar_(registrar),
+      state_store_(state_store),
       started_(rt.now()),
       next_pledge_(static_cast<std::uint64_t>(rt.random() * 9e15)) {}
 
@@ -21,8 +21,8 @@
 Owner::Owned* Owner::acting_owned(int part) { return acting(part) ? owned(part) : nullptr; }
 
 int Owner::part_of_job(const std::string& id) const {
-  auto it = registrar_.view().jobs.find(id);
-  return it == registrar_.view().jobs.end() ? -1 : s_.part_of_team(it->second.spec.team);
+  auto it = state_store_.view().jobs.find(id);
+  return it == state_store_.view().jobs.end() ? -1 : s_.part_of_team(it->second.spec.team);
 }
 
 bool Owner::peer_alive(const std::string& node) const {
@@ -62,7 +62,7 @@
 }
 
 void Owner::dispatch(const Report& r, Reply reply) {
-  const View& v = registrar_.view();
+  const View& v = state_store_.view();
   if (!v.ready) return reply(503, "");
   auto m = v.machines.find(r.machine);
   if (m == v.machines.end()) {
@@ -84,16 +84,16 @@
     ++counters_.stale_reports;
     return reply(503, "");
   }
-  if (r.term < a.term) return answer(*o, r.machine, std::move(a.orders), std::move(reply));
+  if (r.term < a.term) return answer(*o, r.machine, std::move(a.commands), std::move(reply));
   auto starts = o->core->place(r.machine, now);
-  a.orders.insert(a.orders.end(), starts.begin(), starts.end());
-  const Ms park = a.orders.empty() ? o->core->park_ms(r.machine) : 0;
+  a.commands.insert(a.commands.end(), starts.begin(), starts.end());
+  const Ms park = a.commands.empty() ? o->core->park_ms(r.machine) : 0;
   if (park > 0) {
     ++counters_.parked;
     o->parked[r.machine] = {std::move(reply), now + park};
     return;
   }
-  answer(*o, r.machine, std::move(a.orders), std::move(reply));
+  answer(*o, r.machine, std::move(a.commands), std::move(reply));
 }
 
 // Whether the node that owns a part, or owned it last, is a peer that is not heard of.
@@ -110,7 +110,7 @@
 }
 
 void Owner::name_owner(int part, const Reply& reply) const {
-  const auto& parts = registrar_.view().parts;
+  const auto& parts = state_store_.view().parts;
   auto it = parts.find(part);
   if (it == parts.end() || it->second.owner == s_.node) return reply(503, "");
   reply(421, codec::upstream_body(it->second.owner));
@@ -136,29 +136,30 @@
   }
 }
 
-void Owner::answer(Owned& o, const std::string& machine, std::vector<Order> orders, Reply reply) {
+void Owner::answer(Owned& o, const std::string& machine, std::vector<Command> commands,
+                   Reply reply) {
   counters_.preemptions += o.core->take_preemptions();
-  for (const auto& order : orders)
+  for (const auto& order : commands)
     if (order.verb == Verb::launch) {
       ++counters_.starts;
       spdlog::debug("task start job={} task={} try={} machine={} term={}", order.job, order.index,
                     order.attempt, machine, o.core->term_of(machine));
     }
   o.core->answered(machine, rt_.now());
-  reply(200, codec::report_answer(o.core->term_of(machine), orders));
+  reply(200, codec::report_answer(o.core->term_of(machine), commands));
 }
 
 // Work has come or room has freed: the parked machines are looked at, one by one.
 void Owner::pump(Owned& o) {
   const Ms now = rt_.now();
-  std::vector<std::pair<std::string, std::vector<Order>>> ready;
+  std::vector<std::pair<std::string, std::vector<Command>>> ready;
   const bool waiting = o.core->has_waiting();
   std::vector<std::string> ids;
   for (const auto& [id, p] : o.parked) ids.push_back(id);
   if (waiting) ids = o.core->fullest_first(std::move(ids));
   for (const auto& id : ids) {
     const Parked& p = o.parked.at(id);
-    auto starts = waiting ? o.core->place(id, now) : std::vector<Order>{};
+    auto starts = waiting ? o.core->place(id, now) : std::vector<Command>{};
     if (!starts.empty() || p.until <= now) ready.emplace_back(id, std::move(starts));
   }
   for (auto& [id, starts] : ready) {
@@ -174,13 +175,13 @@
     if (auto p = o.parked.find(kill.machine); p != o.parked.end()) {
       auto reply = std::move(p->second.reply);
       o.parked.erase(p);
-      answer(o, kill.machine, std::move(kill.orders), std::move(reply));
+      answer(o, kill.machine, std::move(kill.commands), std::move(reply));
       continue;
     }
     const int part = o.core->index();
     rt_.http(
-        {kill.addr, "POST", "/commands", codec::commands_body(kill.term, kill.tenure, kill.orders),
-         k::kCommandTimeoutMs, true},
+        {kill.addr, "POST", "/commands",
+         codec::commands_body(kill.term, kill.tenure, kill.commands), k::kCommandTimeoutMs, true},
         [this, part, machine = kill.machine, term = o.core->term()](HttpReply r) {
           // Its next report tells what came of it. Guard: without an answer it may be mute, and
           // hear of the kill in no other way.
@@ -208,7 +209,7 @@
 }
 
 void Owner::machine_changed(const std::string& id) {
-  const View& v = registrar_.view();
+  const View& v = state_store_.view();
   auto it = v.machines.find(id);
   const int part = it == v.machines.end() ? -1 : it->second.record.part;
   for (auto& [p, o] : owned_) {
@@ -234,7 +235,7 @@
   if (!o || m.to == m.part || m.to >= s_.parts) return;
   std::vector<std::string> batch;
   for (const auto& id : o->core->idle_machines(m.spot, m.cpus, m.to < 0, rt_.now())) {
-    if (!registrar_.view().machines.count(id) || !o->core->begin_leave(id)) continue;
+    if (!state_store_.view().machines.count(id) || !o->core->begin_leave(id)) continue;
     batch.push_back(id);
     if (static_cast<int>(batch.size()) < s_.batch()) continue;
     give_away(m.part, m.to, std::move(batch));
@@ -244,11 +245,11 @@
 }
 
 void Owner::give_away(int part, int to, const std::vector<std::string>& machines) {
-  const View& v = registrar_.view();
+  const View& v = state_store_.view();
   const std::uint64_t term = owned_.at(part).core->term();
   Commit c;
   c.pace = Pace::fleet;
-  c.nonce = registrar_.nonce();
+  c.nonce = state_store_.nonce();
   c.guards = {{codec::part_key(part), term}};
   for (const auto& id : machines) {
     const auto& m = v.machines.at(id);
@@ -273,7 +274,7 @@
     if (out == Outcome::unknown) return move_again(part, term, machines, again);
     for (const auto& id : machines) o->core->end_leave(id);
   };
-  registrar_.commit(std::move(c));
+  state_store_.commit(std::move(c));
 }
 
 void Owner::move_again(int part, std::uint64_t term, const std::vector<std::string>& machines,
@@ -295,7 +296,7 @@
 // --------------------------------------------------------------------------------- jobs
 
 void Owner::job_opened(const std::string& id) {
-  const auto& j = registrar_.view().jobs.at(id);
+  const auto& j = state_store_.view().jobs.at(id);
   Owned* o = owned(s_.part_of_team(j.spec.team));
   if (!o || !o->active) return;  // it will read the view
   o->core->open_job(j.spec, j.stamp, j.stamp < o->core->term(), {});
@@ -348,7 +349,7 @@
   const std::uint64_t term = o.core->term();
   if (!f.final_commit) {
     Commit c;
-    c.nonce = registrar_.nonce();
+    c.nonce = state_store_.nonce();
     c.guards = job_guards(part, id);
     const JobPhase phase = o.core->complete(id) ? JobPhase::done : JobPhase::cancelled;
     c.writes = {{codec::final_key(id), codec::encode_final(phase, c.nonce), false},
@@ -360,7 +361,7 @@
   Commit c = f.final_commit->commit;
   c.done = [this, part, id, term, reply, phase = f.final_commit->phase](
                Outcome out, std::uint64_t) { finished(part, id, term, out, phase, reply); };
-  registrar_.commit(std::move(c));
+  state_store_.commit(std::move(c));
 }
 
 // Guard: in doubt it stays in doubt. A later try of it that was refused once let the job's tasks
@@ -389,7 +390,7 @@
 void Owner::flush(int part, Owned& o) {
   const Ms now = rt_.now();
   // While it is silent, users alone are a reason to try; it is asked for the grant all the time.
-  const bool silent = now - registrar_.last_good() >= k::kStateSilentMs;
+  const bool silent = now - state_store_.last_good() >= k::kStateSilentMs;
   for (const auto& id : o.core->jobs_to_record()) {
     Flush& f = o.flushes[id];
     if (f.in_flight) continue;
@@ -412,7 +413,7 @@
   for (auto t : tasks) chunks.insert(t / k::kDoneChunk);
   Commit c;
   c.pace = Pace::progress;
-  c.nonce = registrar_.nonce();
+  c.nonce = state_store_.nonce();
   c.guards = job_guards(part, id);
   for (auto chunk : chunks) {
     auto stamp = f.chunk_stamps.find(chunk);
@@ -434,15 +435,16 @@
     } else if (out != Outcome::refused) {
       // Which batch stands there is not known: read the stamps before the next one.
       for (auto chunk : chunks)
-        registrar_.read(codec::done_key(part, id, chunk), [this, part, id, term, chunk](auto row) {
-          Owned* o = owned(part);
-          if (!row || !o || o->core->term() != term) return;
-          auto f = o->flushes.find(id);
-          if (f != o->flushes.end()) f->second.chunk_stamps[chunk] = row->stamp;
-        });
+        state_store_.read(codec::done_key(part, id, chunk),
+                          [this, part, id, term, chunk](auto row) {
+                            Owned* o = owned(part);
+                            if (!row || !o || o->core->term() != term) return;
+                            auto f = o->flushes.find(id);
+                            if (f != o->flushes.end()) f->second.chunk_stamps[chunk] = row->stamp;
+                          });
     }
   };
-  registrar_.commit(std::move(c));
+  state_store_.commit(std::move(c));
 }
 
 // --------------------------------------------------------------------------------- pace
@@ -454,7 +456,7 @@
 
 void Owner::peer_status(const std::string& node, const mesh::Status& s) {
   peers_[node] = {rt_.now(), s};
-  registrar_.peer_use(node, s.use);
+  state_store_.peer_use(node, s.use);
 }
 
 void Owner::tick() {
@@ -489,7 +491,7 @@
     mesh::Status s;
     for (const auto& [part, o] : owned_)
       if (acting(part)) s.parts.emplace_back(part, o.core->need(now));
-    s.use = registrar_.use();
+    s.use = state_store_.use();
     s.hears = hears();
     hooks_.broadcast(s);
   }
--- a/src/actors/owner.h
+++ b/src/actors/owner.h
@@ -6,7 +6,7 @@
 #include <set>
 #include <string>
 
-#include "actors/registrar.h"
+#include "actors/state_store_client.h"
 #include "codec/mesh.h"
 #include "core/part.h"
 
@@ -26,7 +26,7 @@
     std::uint64_t preemptions = 0;
   };
 
-  Owner(Runtime& rt, const Settings& s, Registrar& registrar);
+  Owner(Runtime& rt, const Settings& s, StateStoreClient& state_store);
   void start(Hooks hooks) { hooks_ = std::move(hooks); }
   void tick();
 
@@ -112,7 +112,7 @@
   void leave_unheard();
   void give_up(int part, std::uint64_t stamp);
   void drop(int part, const char* reason);
-  void answer(Owned& o, const std::string& machine, std::vector<Order> orders, Reply reply);
+  void answer(Owned& o, const std::string& machine, std::vector<Command> commands, Reply reply);
   void pump(Owned& o);
   void give_away(int part, int to, const std::vector<std::string>& machines);
   void send_move(int part, std::uint64_t term, const std::vector<std::string>& machines, Commit c);
@@ -130,7 +130,7 @@
 
   Runtime& rt_;
   const Settings& s_;
-  Registrar& registrar_;
+  StateStoreClient& state_store_;
   Hooks hooks_;
   std::map<int, Owned> owned_;
   std::map<std::string, HeldReport> held_reports_;  // by machine
--- a/src/actors/owner_parts.cc
+++ b/src/actors/owner_parts.cc
@@ -11,8 +11,8 @@
 // Invariant 6: whoever is not surely the owner does nothing. Sure is who has a live grant, or,
 // while nobody reaches the state service, the pledges of all peers not to claim its parts.
 bool Owner::entitled() const {
-  if (registrar_.grant_alive()) return true;
-  if (registrar_.grant() == 0 || s_.peers.empty()) return false;
+  if (state_store_.grant_alive()) return true;
+  if (state_store_.grant() == 0 || s_.peers.empty()) return false;
   const Ms now = rt_.now();
   return std::all_of(s_.peers.begin(), s_.peers.end(), [&](const Peer& p) {
     auto it = pledge_until_.find(p.name);
@@ -29,14 +29,14 @@
 // can no longer be sure. A pledge counts from the sending of the question.
 void Owner::ask_pledges() {
   const Ms now = rt_.now();
-  if (owned_.empty() || now - registrar_.last_good() < k::kStateSilentMs ||
+  if (owned_.empty() || now - state_store_.last_good() < k::kStateSilentMs ||
       now - pledge_asked_at_ < k::kPledgeEveryMs)
     return;
   pledge_asked_at_ = now;
   mesh::PledgeAsk a;
   a.number = ++next_pledge_;
   a.life = k::kPledgeMs;
-  a.ledger = registrar_.view().ledger;
+  a.ledger = state_store_.view().ledger;
   for (const auto& [part, o] : owned_) a.parts.emplace_back(part, o.core->term());
   pledge_asked_[a.number] = now;
   while (pledge_asked_.size() > k::kPledgesOpen) pledge_asked_.erase(pledge_asked_.begin());
@@ -48,7 +48,7 @@
   if (asked == pledge_asked_.end() || !p.given) return;
   // Guard: our view stands still while pledges keep us acting. What the peer may have told its
   // users we must know first: such a job's tasks went on for as long as the state service was down.
-  registrar_.take_closed(p.closed);
+  state_store_.take_closed(p.closed);
   const Ms until =
       asked->second + static_cast<Ms>(k::kPledgeMs * (1 - k::kDrift)) - k::kGrantMarginMs;
   Ms& held = pledge_until_[node];
@@ -59,10 +59,10 @@
 // last saw there. A claim of ours that may still land forbids it. An earlier process of this
 // node had a grant that is ended before we have one, so none of its claims can land any more.
 bool Owner::promises(const std::string& node, const mesh::PledgeAsk& a) const {
-  const View& v = registrar_.view();
+  const View& v = state_store_.view();
   const Ms now = rt_.now();
-  if (!v.ready || registrar_.grant() == 0 || a.life > k::kPledgeMs ||
-      now - registrar_.last_good() < k::kStateSilentMs)
+  if (!v.ready || state_store_.grant() == 0 || a.life > k::kPledgeMs ||
+      now - state_store_.last_good() < k::kStateSilentMs)
     return false;
   for (const auto& [part, stamp] : a.parts) {
     auto it = v.parts.find(part);
@@ -78,8 +78,8 @@
 mesh::Pledge Owner::pledge(const std::string& node, const mesh::PledgeAsk& a) {
   // Guard: a node that the state service refused alone, before the outage, has not seen the claim
   // of the part that it lost. It promised nothing then, and all leases of the part ended.
-  for (const auto& [part, stamp] : a.parts) registrar_.take_claim(part, node, stamp);
-  auto closed = registrar_.closed_since(a.ledger);
+  for (const auto& [part, stamp] : a.parts) state_store_.take_claim(part, node, stamp);
+  auto closed = state_store_.closed_since(a.ledger);
   if (!closed || !promises(node, a)) return {a.number, false, {}};
   const Ms until = rt_.now() + static_cast<Ms>(a.life * (1 + k::kDrift));
   for (const auto& [part, stamp] : a.parts) promised_[part] = std::max(promised_[part], until);
@@ -89,8 +89,8 @@
 // ----------------------------------------------------------- claims, hand-back and loss
 
 void Owner::claim_vacant() {
-  const View& v = registrar_.view();
-  if (!v.ready || !registrar_.grant_alive()) return;
+  const View& v = state_store_.view();
+  if (!v.ready || !state_store_.grant_alive()) return;
   const Ms now = rt_.now();
   for (int part = 0; part < s_.parts; ++part) {
     if (v.parts.count(part) || claiming_.count(part)) {
@@ -115,22 +115,22 @@
 void Owner::claim(int part) {
   claiming_.insert(part);
   Commit c;
-  c.nonce = registrar_.nonce();
+  c.nonce = state_store_.nonce();
   c.guards = {{codec::part_key(part), 0}};
   c.writes = {{codec::part_key(part),
-               codec::encode(codec::PartRecord{s_.node, registrar_.grant()}, c.nonce), true}};
+               codec::encode(codec::PartRecord{s_.node, state_store_.grant()}, c.nonce), true}};
   c.pace = Pace::urgent;
-  const std::uint64_t grant = registrar_.grant();
+  const std::uint64_t grant = state_store_.grant();
   c.done = [this, part, grant](Outcome o, std::uint64_t stamp) {
-    if (o == Outcome::ok && grant == registrar_.grant()) activate(part, stamp);
+    if (o == Outcome::ok && grant == state_store_.grant()) activate(part, stamp);
     // In doubt it may still land: the part's key will tell (see part_changed). Guard: it may also
     // never land, so the part is claimed again; a part nobody may claim stays without owner.
     // Guard: that another claim stands there now says nothing of an earlier try without answer.
-    if ((o == Outcome::unknown || o == Outcome::superseded) && grant == registrar_.grant())
+    if ((o == Outcome::unknown || o == Outcome::superseded) && grant == state_store_.grant())
       in_doubt_.insert(part);
     rt_.after(o == Outcome::refused ? k::kOverLimitMs : 0, [this, part] { claiming_.erase(part); });
   };
-  registrar_.commit(std::move(c));
+  state_store_.commit(std::move(c));
 }
 
 void Owner::activate(int part, std::uint64_t stamp) {
@@ -146,20 +146,20 @@
   o.core->set_types(types_);
   // The picture is whole once the view has our claim: nothing of the part's changes after it
   // without us, but for new jobs and machines, which the view will tell.
-  registrar_.when_seen(stamp, [this, part, stamp] { load_done(part, stamp); });
+  state_store_.when_seen(stamp, [this, part, stamp] { load_done(part, stamp); });
 }
 
 void Owner::load_done(int part, std::uint64_t stamp) {
   Owned* o = owned(part);
   if (!o || o->core->term() != stamp) return;
-  registrar_.list(codec::done_prefix(part), [this, part, stamp](auto rows) {
+  state_store_.list(codec::done_prefix(part), [this, part, stamp](auto rows) {
     Owned* o = owned(part);
     if (!o || o->core->term() != stamp) return;
     if (!rows) {
       rt_.after(k::kRetryMs, [this, part, stamp] { load_done(part, stamp); });
       return;
     }
-    const View& v = registrar_.view();
+    const View& v = state_store_.view();
     std::map<std::string, std::vector<std::uint32_t>> done;
     for (const auto& r : *rows) {
       const std::string job = codec::done_key_job(r.key);
@@ -197,24 +197,24 @@
 
 void Owner::part_changed(int part) {
   Owned* o = owned(part);
-  auto it = registrar_.view().parts.find(part);
-  if (it != registrar_.view().parts.end()) {
+  auto it = state_store_.view().parts.find(part);
+  if (it != state_store_.view().parts.end()) {
     last_owner_[part] = it->second.owner;
     // A claim of ours has landed, perhaps one that was in doubt.
     auto left = giving_up_.find(part);
-    if (!o && it->second.owner == s_.node && it->second.grant == registrar_.grant() &&
+    if (!o && it->second.owner == s_.node && it->second.grant == state_store_.grant() &&
         (left == giving_up_.end() || left->second != it->second.stamp))
       return activate(part, it->second.stamp);
   }
   if (!o) return;
-  const bool ours = it != registrar_.view().parts.end() && it->second.owner == s_.node &&
+  const bool ours = it != state_store_.view().parts.end() && it->second.owner == s_.node &&
                     it->second.stamp == o->core->term();
   if (!ours) drop(part, "key-changed");
 }
 
 // Whether a part may be given up now: the state service surely hears of it.
 bool Owner::settled() const {
-  return registrar_.grant_alive() && rt_.now() - registrar_.last_good() < k::kStateSilentMs;
+  return state_store_.grant_alive() && rt_.now() - state_store_.last_good() < k::kStateSilentMs;
 }
 
 // The key of a part is deleted under guard, and another node claims it. We stop acting before the
@@ -229,7 +229,7 @@
 
 // A part whose home node is up again, and hears workers, goes back to it.
 void Owner::hand_back() {
-  const View& v = registrar_.view();
+  const View& v = state_store_.view();
   const Ms now = rt_.now();
   for (auto& [part, o] : owned_) {
     const std::string home = s_.home_of(part);
@@ -249,7 +249,7 @@
 void Owner::listen() {
   const Ms now = rt_.now();
   silent_ += std::min(now - std::exchange(listened_at_, now), 2 * k::kTickMs);
-  const auto& machines = registrar_.view().machines;
+  const auto& machines = state_store_.view().machines;
   if (machines.empty()) silent_ = 0;
   if (silent_ < static_cast<Ms>(s_.report_s * 1000 / 2) || now - probed_at_ < k::kProbeEveryMs)
     return;
@@ -278,7 +278,7 @@
 void Owner::leave_unheard() {
   if (hears() || !settled()) return;
   const bool heard = std::any_of(s_.peers.begin(), s_.peers.end(), [&](const Peer& p) {
-    return peer_alive(p.name) && !unheard(p.name) && registrar_.view().nodes.count(p.name);
+    return peer_alive(p.name) && !unheard(p.name) && state_store_.view().nodes.count(p.name);
   });
   if (!heard) return;
   for (const auto& [part, o] : owned_)
@@ -293,12 +293,12 @@
 // sent from node to node and back, and no task of it started any more.
 void Owner::give_up(int part, std::uint64_t stamp) {
   Commit c;
-  c.nonce = registrar_.nonce();
+  c.nonce = state_store_.nonce();
   c.guards = {{codec::part_key(part), stamp}};
   c.writes = {{codec::part_key(part), "", false}};
   c.pace = Pace::urgent;
   c.done = [this, part, stamp](Outcome o, std::uint64_t) {
-    const auto& parts = registrar_.view().parts;
+    const auto& parts = state_store_.view().parts;
     auto it = parts.find(part);
     if (o == Outcome::ok || o == Outcome::conflict || it == parts.end() ||
         it->second.stamp != stamp) {
@@ -307,7 +307,7 @@
     }
     rt_.after(k::kRetryMs, [this, part, stamp] { give_up(part, stamp); });
   };
-  registrar_.commit(std::move(c));
+  state_store_.commit(std::move(c));
 }
 
 }  // namespace eiderreel
--- a/src/actors/registrar.cc
+++ b/src/actors/state_store_client.cc
@@ -1,4 +1,4 @@
-#include "actors/registrar.h"
+#include "actors/state_store_client.h"
 
 #include <spdlog/spdlog.h>
 
@@ -22,7 +22,7 @@
 
 }  // namespace
 
-Registrar::Registrar(Runtime& rt, const Settings& s) : rt_(rt), s_(s) {
+StateStoreClient::StateStoreClient(Runtime& rt, const Settings& s) : rt_(rt), s_(s) {
   const double nodes = static_cast<double>(s.peers.size() + 1);
   auto set = [&](Budget& b, double rate) {
     b.total = rate * k::kBudgetShare;
@@ -32,38 +32,38 @@
   set(changes_, s.state_write_rps);
 }
 
-void Registrar::start(Events events) {
+void StateStoreClient::start(Events events) {
   events_ = std::move(events);
   refilled_ = rt_.now();
   begin_follow();
 }
 
-std::string Registrar::nonce() {
+std::string StateStoreClient::nonce() {
   return s_.node + "." + rt_.boot_id() + "." + std::to_string(++nonce_counter_);
 }
 
 // ------------------------------------------------------------------------------ budgets
 
-void Registrar::Budget::refill(double dt, double spare) {
+void StateStoreClient::Budget::refill(double dt, double spare) {
   rate = even + spare;
   tokens = std::min(rate, tokens + dt * rate);
   used *= std::exp(-dt * 1000.0 / k::kUseMs);
 }
 
-void Registrar::Budget::take(double n) {
+void StateStoreClient::Budget::take(double n) {
   tokens -= n;
   used += n * 1000.0 / k::kUseMs;
 }
 
-BudgetUse Registrar::use() const { return {requests_.used, changes_.used}; }
+BudgetUse StateStoreClient::use() const { return {requests_.used, changes_.used}; }
 
-void Registrar::peer_use(const std::string& node, const BudgetUse& use) {
+void StateStoreClient::peer_use(const std::string& node, const BudgetUse& use) {
   peer_use_[node] = {rt_.now(), use};
 }
 
 // A node that is not heard of may use all of its part. Of what the others leave, an even share is
 // ours: so two that are in need together do not both take the whole.
-void Registrar::refill() {
+void StateStoreClient::refill() {
   const Ms now = rt_.now();
   const double dt = static_cast<double>(now - refilled_) / 1000.0;
   refilled_ = now;
@@ -77,7 +77,7 @@
   changes_.refill(dt, spare.changes * k::kSpareShare);
 }
 
-void Registrar::submit(Pending p) {
+void StateStoreClient::submit(Pending p) {
   p.request.addr = s_.state_addr;
   // More than can be served while it waits would only be refused later.
   const double most = std::max(k::kPendingLeast, s_.state_rps * k::kStateTimeoutMs / 1000);
@@ -90,7 +90,7 @@
   enqueue(std::move(p));
 }
 
-void Registrar::enqueue(Pending p) {
+void StateStoreClient::enqueue(Pending p) {
   auto pos = queue_.end();
   while (pos != queue_.begin() && std::prev(pos)->pace > p.pace) --pos;
   queue_.insert(pos, std::move(p));
@@ -99,7 +99,7 @@
 
 // Users may run into debt up to what the others would have to leave unused: their changes are few,
 // and a refusal by the state service itself costs one more try.
-bool Registrar::affordable(const Pending& p) const {
+bool StateStoreClient::affordable(const Pending& p) const {
   if (p.pace == Pace::urgent) return true;
   const double debt = p.pace == Pace::user ? 1 : 0;
   if (requests_.tokens - 1 < -debt * (requests_.total - requests_.even)) return false;
@@ -110,7 +110,7 @@
          -debt * (changes_.total - changes_.even);
 }
 
-void Registrar::pump() {
+void StateStoreClient::pump() {
   refill();
   const Ms now = rt_.now();
   while (!queue_.empty()) {
@@ -143,7 +143,7 @@
   }
 }
 
-void Registrar::tick() {
+void StateStoreClient::tick() {
   pump();
   if (!view_.ready) return;
   const Ms now = rt_.now();
@@ -169,7 +169,7 @@
 
 // -------------------------------------------------------------------------------- grant
 
-void Registrar::get_grant() {
+void StateStoreClient::get_grant() {
   if (granting_) return;
   granting_ = true;
   // An earlier process of this node has ended, so its grant holds back our parts for nothing.
@@ -210,7 +210,7 @@
           }});
 }
 
-void Registrar::extend() {
+void StateStoreClient::extend() {
   extending_ = true;
   const Ms sent = rt_.now();
   const std::uint64_t id = grant_;
@@ -238,13 +238,13 @@
 
 // --------------------------------------------------------------------------------- view
 
-void Registrar::begin_follow() {
+void StateStoreClient::begin_follow() {
   loaded_.clear();
   follow_since_ = 0;
   load(0, "");
 }
 
-void Registrar::load(std::size_t prefix, std::string since) {
+void StateStoreClient::load(std::size_t prefix, std::string since) {
   if (prefix == kFollowed.size()) {
     // What an earlier view had and the list has not is gone.
     auto gone = [&](const std::string& key) { return !loaded_.count(key); };
@@ -292,7 +292,7 @@
        }});
 }
 
-void Registrar::follow(Ms wait) {
+void StateStoreClient::follow(Ms wait) {
   std::string path = "/follow?prefix=e/&since=" + std::to_string(follow_since_) +
                      "&wait_ms=" + std::to_string(wait);
   submit({{"", "GET", path, "", wait + k::kFollowSlackMs}, 0, Pace::urgent, 0, [this](HttpReply r) {
@@ -319,11 +319,11 @@
 }
 
 // Following takes no more than a part of the requests, however busy the keys are.
-Ms Registrar::follow_pause() const {
+Ms StateStoreClient::follow_pause() const {
   return std::max(k::kFollowPauseMs, static_cast<Ms>(1000.0 / (requests_.even * k::kFollowShare)));
 }
 
-void Registrar::announce_seen() {
+void StateStoreClient::announce_seen() {
   while (!waiting_.empty() && waiting_.begin()->first <= view_.ledger) {
     auto f = std::move(waiting_.begin()->second);
     waiting_.erase(waiting_.begin());
@@ -331,14 +331,14 @@
   }
 }
 
-void Registrar::when_seen(std::uint64_t ledger, std::function<void()> done) {
+void StateStoreClient::when_seen(std::uint64_t ledger, std::function<void()> done) {
   if (view_.ledger >= ledger)
     done();
   else
     waiting_.emplace(ledger, std::move(done));
 }
 
-void Registrar::remember_final(const std::string& id, JobPhase p, std::uint64_t stamp) {
+void StateStoreClient::remember_final(const std::string& id, JobPhase p, std::uint64_t stamp) {
   if (!view_.finals.emplace(id, p).second) return;
   closed_.push_back({id, p, stamp});
   if (closed_.size() > k::kClosedKept) {
@@ -352,7 +352,7 @@
   }
 }
 
-std::optional<std::vector<ClosedJob>> Registrar::closed_since(std::uint64_t ledger) const {
+std::optional<std::vector<ClosedJob>> StateStoreClient::closed_since(std::uint64_t ledger) const {
   if (!view_.ready || ledger < closed_from_) return std::nullopt;
   std::vector<ClosedJob> out;
   for (const auto& c : closed_)
@@ -360,7 +360,7 @@
   return out;
 }
 
-void Registrar::take_closed(const std::vector<ClosedJob>& closed) {
+void StateStoreClient::take_closed(const std::vector<ClosedJob>& closed) {
   for (const auto& c : closed) {
     remember_final(c.id, c.phase, c.stamp);
     codec::StateRow record;
@@ -371,7 +371,7 @@
   }
 }
 
-void Registrar::take_claim(int part, const std::string& owner, std::uint64_t stamp) {
+void StateStoreClient::take_claim(int part, const std::string& owner, std::uint64_t stamp) {
   // Guard: an older claim may have ended within our view, and the changes will not tell so again.
   if (stamp <= view_.ledger) return;
   codec::StateRow claim;
@@ -383,7 +383,7 @@
 
 // Rows may come twice and, from our own commits, ahead of their turn: an older stamp changes
 // nothing, and a final job never opens again.
-void Registrar::apply(const codec::StateRow& row, bool announce) {
+void StateStoreClient::apply(const codec::StateRow& row, bool announce) {
   const std::string name = codec::key_name(row.key);
   if (under(row.key, "e/job/")) {
     auto it = view_.jobs.find(name);
@@ -425,7 +425,7 @@
   }
 }
 
-void Registrar::apply_commit(const Commit& c, std::uint64_t ledger) {
+void StateStoreClient::apply_commit(const Commit& c, std::uint64_t ledger) {
   // Puts first: the final record of a job must be known when its record goes.
   for (bool deletes : {false, true}) {
     for (const auto& w : c.writes) {
@@ -438,11 +438,11 @@
 
 // ------------------------------------------------------------------------------ commits
 
-void Registrar::commit(Commit c) {
+void StateStoreClient::commit(Commit c) {
   try_commit(std::make_shared<Commit>(std::move(c)), k::kCommitTries);
 }
 
-void Registrar::try_commit(std::shared_ptr<Commit> c, int tries) {
+void StateStoreClient::try_commit(std::shared_ptr<Commit> c, int tries) {
   submit({{"", "POST", "/commit", codec::commit_body(c->guards, c->writes, grant_),
            k::kStateTimeoutMs},
           static_cast<int>(c->writes.size()),
@@ -474,7 +474,7 @@
 
 // The guards failed after a try without answer: whose write is it that stands there? Stamps only
 // grow, so a try guarded by stamps can land no more; one guarded by the absence of a key can.
-void Registrar::read_back(std::shared_ptr<Commit> c, std::uint64_t ledger, int tries) {
+void StateStoreClient::read_back(std::shared_ptr<Commit> c, std::uint64_t ledger, int tries) {
   read(c->writes.front().key, [this, c, ledger, tries](std::optional<codec::StateRow> row) {
     if (row) {
       if (row->stamp != 0 && row->nonce == c->nonce) {
@@ -499,8 +499,8 @@
   });
 }
 
-void Registrar::read(const std::string& key,
-                     std::function<void(std::optional<codec::StateRow>)> done) {
+void StateStoreClient::read(const std::string& key,
+                            std::function<void(std::optional<codec::StateRow>)> done) {
   submit({{"", "GET", "/kv/" + key, "", k::kStateTimeoutMs},
           0,
           Pace::user,
@@ -516,14 +516,15 @@
           }});
 }
 
-void Registrar::list(const std::string& prefix,
-                     std::function<void(std::optional<std::vector<codec::StateRow>>)> done) {
+void StateStoreClient::list(const std::string& prefix,
+                            std::function<void(std::optional<std::vector<codec::StateRow>>)> done) {
   list_from(prefix, "", std::make_shared<std::vector<codec::StateRow>>(), std::move(done));
 }
 
-void Registrar::list_from(const std::string& prefix, const std::string& since,
-                          std::shared_ptr<std::vector<codec::StateRow>> rows,
-                          std::function<void(std::optional<std::vector<codec::StateRow>>)> done) {
+void StateStoreClient::list_from(
+    const std::string& prefix, const std::string& since,
+    std::shared_ptr<std::vector<codec::StateRow>> rows,
+    std::function<void(std::optional<std::vector<codec::StateRow>>)> done) {
   std::string path = "/kv?prefix=" + prefix + "&page=" + std::to_string(k::kListPage);
   if (!since.empty()) path += "&since=" + since;
   submit({{"", "GET", path, "", k::kStateTimeoutMs * 2},
--- a/src/actors/registrar.h
+++ b/src/actors/state_store_client.h
@@ -1,5 +1,5 @@
-// The registrar: all dealings with the state service. It owns this node's grant, the view that
-// follows every key under `e/`, and the node's part of the request and write budgets.
+// The state store client: all dealings with the state service. It owns this node's grant, the view
+// that follows every key under `e/`, and the node's part of the request and write budgets.
 #pragma once
 #include <deque>
 #include <functional>
@@ -16,7 +16,7 @@
 
 namespace eiderreel {
 
-// What the followed keys say. Read by the other actors, changed by the registrar alone.
+// What the followed keys say. Read by the other actors, changed by the state store client alone.
 struct View {
   struct PartEntry {
     std::string owner;
@@ -69,7 +69,7 @@
   bool doubt = false;
 };
 
-class Registrar {
+class StateStoreClient {
  public:
   struct Events {
     std::function<void(const std::string&id)> job_opened, job_closed, machine_changed;
@@ -81,7 +81,7 @@
     std::uint64_t refused_here = 0;        // over our own budget
   };
 
-  Registrar(Runtime& rt, const Settings& s);
+  StateStoreClient(Runtime& rt, const Settings& s);
   void start(Events events);
   void tick();
 
--- a/src/codec/json.cc
+++ b/src/codec/json.cc
@@ -78,11 +78,11 @@
   return std::nullopt;
 }
 
-const char* const kRanks[] = {"best_effort", "standard", "high", "production"};
+const char* const kPriorities[] = {"best_effort", "standard", "high", "production"};
 const char* const kKinds[] = {"sweep", "daemon"};
 const char* const kJobPhases[] = {"queued", "running", "done", "cancelled"};
 const char* const kTaskPhases[] = {"pulling", "running", "flushing", "exited"};
-const char* const kCauses[] = {"", "done", "stopped", "error", "no_room", "busy", "no_such"};
+const char* const kExitReasons[] = {"", "done", "stopped", "error", "no_room", "busy", "no_such"};
 const char* const kVerbs[] = {"launch", "kill", "clear"};
 
 std::string task_name(const std::string& job, std::uint32_t index) {
@@ -112,9 +112,9 @@
   if (!kind) return "shape";
   j.kind = *kind;
   if (!get(d, "rank", s)) return "rank";
-  auto rank = named<Rank>(s, kRanks);
-  if (!rank) return "rank";
-  j.rank = *rank;
+  auto priority = named<Priority>(s, kPriorities);
+  if (!priority) return "rank";
+  j.priority = *priority;
   std::uint64_t n = 0;
   if (!get(d, "shards", n) || n == 0 || n > constants::kTasksMax) return "shards";
   j.tasks = static_cast<std::uint32_t>(n);
@@ -153,7 +153,7 @@
   put(w, "jobclass", j.jobclass);
   put(w, "crew", j.team);
   put(w, "shape", std::string(kKinds[static_cast<int>(j.kind)]));
-  put(w, "rank", std::string(kRanks[static_cast<int>(j.rank)]));
+  put(w, "rank", std::string(kPriorities[static_cast<int>(j.priority)]));
   put(w, "shards", std::uint64_t{j.tasks});
   put(w, "cores", j.cpus);
   put(w, "accelerators", j.gpus);
@@ -177,10 +177,10 @@
   put(w, "at_ms", static_cast<std::uint64_t>(j.accepted_at));
 }
 
-void put_orders(Writer& w, const std::vector<Order>& orders) {
+void put_orders(Writer& w, const std::vector<Command>& commands) {
   w.Key("orders");
   w.StartArray();
-  for (const auto& o : orders) {
+  for (const auto& o : commands) {
     w.StartObject();
     put(w, "verb", std::string(kVerbs[static_cast<int>(o.verb)]));
     put(w, "shard", task_name(o.job, o.index));
@@ -339,31 +339,32 @@
   for (const auto& e : tasks->GetArray()) {
     if (!e.IsObject()) return std::nullopt;
     TaskReport t;
-    std::string name, phase, cause;
+    std::string name, phase, exit_reason;
     if (!get(e, "shard", name) || !parse_task_name(name, t.job, t.index) ||
         !get(e, "try", t.attempt) || !get(e, "phase", phase))
       return std::nullopt;
     // An unknown phase of a task on the machine counts as running: it holds its room.
     t.phase = named<TaskPhase>(phase, kTaskPhases).value_or(TaskPhase::running);
-    if (get(e, "cause", cause)) t.cause = named<Cause>(cause, kCauses).value_or(Cause::error);
+    if (get(e, "cause", exit_reason))
+      t.exit_reason = named<ExitReason>(exit_reason, kExitReasons).value_or(ExitReason::error);
     r.tasks.push_back(std::move(t));
   }
   return r;
 }
 
-std::string report_answer(std::uint64_t term, const std::vector<Order>& orders) {
+std::string report_answer(std::uint64_t term, const std::vector<Command>& commands) {
   return object([&](Writer& w) {
     put(w, "epoch", term);
-    put_orders(w, orders);
+    put_orders(w, commands);
   });
 }
 
 std::string commands_body(std::uint64_t term, std::uint64_t tenure,
-                          const std::vector<Order>& orders) {
+                          const std::vector<Command>& commands) {
   return object([&](Writer& w) {
     put(w, "epoch", term);
     put(w, "tenure", tenure);
-    put_orders(w, orders);
+    put_orders(w, commands);
   });
 }
 
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -458,23 +458,24 @@
     if (bt != m.tasks.end() && bt->second.attempt == t.attempt && !bt->second.seen)
       heard = bt->second.seen = true;
     if (t.phase == TaskPhase::exited) {
-      if (t.cause == Cause::done && j) {
+      if (t.exit_reason == ExitReason::done && j) {
         if (bt != m.tasks.end() && bt->second.attempt == t.attempt) release(m, key, false);
         set_done(*j, t.index);
         m.errors = 0;
         m.shun_ms = 0;
         // Invariant 7: cleared only after its durable record.
         if (j->state[t.index] == State::recorded)
-          a.orders.push_back({Verb::clear, t.job, t.index, t.attempt, 0});
+          a.commands.push_back({Verb::clear, t.job, t.index, t.attempt, 0});
         continue;
       }
       if (bt != m.tasks.end() && bt->second.attempt == t.attempt) {
-        if (t.cause == Cause::error && bt->second.job) note_error(m, *bt->second.job, now);
-        if (t.cause == Cause::no_such && bt->second.job)
+        if (t.exit_reason == ExitReason::error && bt->second.job)
+          note_error(m, *bt->second.job, now);
+        if (t.exit_reason == ExitReason::no_such && bt->second.job)
           bt->second.job->not_before = now + constants::kJobBackoffMs;
         release(m, key, true);
       }
-      a.orders.push_back({Verb::clear, t.job, t.index, t.attempt, 0});
+      a.commands.push_back({Verb::clear, t.job, t.index, t.attempt, 0});
       continue;
     }
     seen.insert(key);
@@ -501,7 +502,7 @@
       bt->second.attempt = t.attempt;
     }
     if (m.tasks[key].killing || m.tasks[key].job == nullptr)
-      a.orders.push_back({Verb::kill, t.job, t.index, t.attempt, m.tasks[key].grace_s});
+      a.commands.push_back({Verb::kill, t.job, t.index, t.attempt, m.tasks[key].grace_s});
   }
   // Invariant 4: a launch is open until this report; what it lacks was never started or is gone.
   std::vector<TaskKey> lacking;
@@ -545,11 +546,11 @@
 
 std::vector<Part::Kill> Part::take_kills() {
   std::vector<Kill> out;
-  for (auto& [id, orders] : kills_) {
+  for (auto& [id, commands] : kills_) {
     auto it = machines_.find(id);
     if (it == machines_.end() || !it->second->reported || it->second->gone) continue;
     const Machine& m = *it->second;
-    out.push_back({id, m.addr, m.tenure, term_of(id), std::move(orders)});
+    out.push_back({id, m.addr, m.tenure, term_of(id), std::move(commands)});
   }
   kills_.clear();
   return out;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -33,7 +33,7 @@
 struct Answer {
   Verdict verdict = Verdict::ok;
   std::uint64_t term = 0;
-  std::vector<Order> orders;
+  std::vector<Command> commands;
 };
 
 // What the part lacks and what it has to spare, told to the leader.
@@ -103,7 +103,7 @@
   // Takes in a report. The answer has the kills and clears; starts come from `place`.
   Answer on_report(const Report& r, Ms now);
   // Starts for this machine alone, to be put into the answer to its newest report.
-  std::vector<Order> place(const std::string& machine, Ms now);
+  std::vector<Command> place(const std::string& machine, Ms now);
   // An answer with status 200 was handed to the network now.
   void answered(const std::string& machine, Ms now);
   // Declares machines silent beyond their lease as gone; returns their names.
@@ -121,7 +121,7 @@
   struct Kill {
     std::string machine, addr;
     std::uint64_t tenure, term;
-    std::vector<Order> orders;
+    std::vector<Command> commands;
   };
   std::vector<Kill> take_kills();
   void kill_again(const std::string& machine);  // nothing tells that it has heard of its kills
@@ -242,7 +242,7 @@
   bool may_start(const Machine& m, const Job& j, const Proof& proof, Ms now) const;
   static Fill fill(const Machine& m);
   static double reserve(const Machine& m);
-  void drain(Machine& m, const Proof& proof, Ms now, std::vector<Order>& out);
+  void drain(Machine& m, const Proof& proof, Ms now, std::vector<Command>& out);
   bool room_beside(const Machine& m, const Job& j, const Proof& proof, Ms now) const;
   void reserve_room(Machine& m, const Proof& proof, Ms now);
   bool open_to(const Machine& m, const Job& j) const;
@@ -271,10 +271,11 @@
   void look_for_image(Job& j, Ms now);
   bool better_elsewhere(const Machine& m, Job& j, Ms now);
   void launch(Machine& m, const std::vector<Job*>& order, bool within, const Proof& proof, Ms now,
-              std::vector<Order>& out);
-  void make_room(Machine& m, const Proof& proof, Ms now, std::vector<Order>& out);
-  void start_one(Machine& m, Job& j, std::vector<Order>& out);
-  bool preempt_for(Machine& m, Job& j, double unproven, bool by_guarantee, std::vector<Order>& out);
+              std::vector<Command>& out);
+  void make_room(Machine& m, const Proof& proof, Ms now, std::vector<Command>& out);
+  void start_one(Machine& m, Job& j, std::vector<Command>& out);
+  bool preempt_for(Machine& m, Job& j, double unproven, bool by_guarantee,
+                   std::vector<Command>& out);
   bool may_stop(const Bound& victim, const Job& j, bool by_guarantee) const;
   bool fits(const Machine& m, const Job& j, double unproven_cpus) const;
   const Proof& proof();
@@ -308,7 +309,7 @@
   };
   Reservation reservation_;
   std::uint64_t counter_ = 0, preemptions_ = 0, steps_ = 0;
-  std::map<std::string, std::vector<Order>> kills_;
+  std::map<std::string, std::vector<Command>> kills_;
 };
 
 }  // namespace eiderreel
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -213,7 +213,7 @@
 
 // A replica that another machine of the part has room for, and the image, is stopped here and
 // starts there; one at a time, so that a service of several is never down.
-void Part::drain(Machine& m, const Proof& proof, Ms now, std::vector<Order>& out) {
+void Part::drain(Machine& m, const Proof& proof, Ms now, std::vector<Command>& out) {
   if (m.drain_until <= now || !usable(m, now)) return;
   for (const auto& [key, b] : m.tasks)
     if (b.killing) return;
@@ -250,7 +250,7 @@
   return ids;
 }
 
-void Part::start_one(Machine& m, Job& j, std::vector<Order>& out) {
+void Part::start_one(Machine& m, Job& j, std::vector<Command>& out) {
   std::uint32_t i = j.first_queued;
   while (j.state[i] != State::queued) ++i;
   j.first_queued = i;
@@ -272,16 +272,16 @@
     return false;
   const JobSpec& v = victim.job->spec;
   if (by_guarantee)
-    return victim.team != j.team && v.kind == Kind::array && v.rank <= j.spec.rank &&
+    return victim.team != j.team && v.kind == Kind::array && v.priority <= j.spec.priority &&
            team_cpus_[victim.team] - victim.cpus >= teams_[victim.team].cpus - kEps;
-  return v.rank < j.spec.rank;
+  return v.priority < j.spec.priority;
 }
 
 // Stops tasks here and starts one of the job in their room, in the same answer: the worker obeys
 // in order, and a task that cannot save is gone at once. One that can save is told to, and its
 // room is used when it is seen to be gone.
 bool Part::preempt_for(Machine& m, Job& j, double unproven, bool by_guarantee,
-                       std::vector<Order>& out) {
+                       std::vector<Command>& out) {
   std::vector<std::pair<TaskKey, Bound*>> victims;
   // What is told to stop without saving goes before the starts of the same answer.
   double cpus = m.type->cpus, gpus = m.type->gpus, memory = m.type->memory_gb;
@@ -294,9 +294,9 @@
   std::vector<std::pair<TaskKey, Bound*>> candidates;
   for (auto& [key, b] : m.tasks)
     if (may_stop(b, j, by_guarantee)) candidates.emplace_back(key, &b);
-  // The lowest rank first, then the youngest: the least work is lost.
+  // The lowest priority first, then the youngest: the least work is lost.
   std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
-    const Rank ra = a.second->job->spec.rank, rb = b.second->job->spec.rank;
+    const Priority ra = a.second->job->spec.priority, rb = b.second->job->spec.priority;
     return ra != rb ? ra < rb : a.second->attempt > b.second->attempt;
   });
   const JobSpec& s = j.spec;
@@ -347,7 +347,7 @@
 // Work within a guarantee goes first, then borrowing; each in the order of the queue. The tasks of
 // a job are alike, so they are decided together.
 void Part::launch(Machine& m, const std::vector<Job*>& order, bool within, const Proof& proof,
-                  Ms now, std::vector<Order>& out) {
+                  Ms now, std::vector<Command>& out) {
   const Ms pack_ms = std::min(constants::kPackWaitMs, limits_.report_ms * 5 / 4);
   // By then every other machine has reported.
   const Ms spare_ms = pack_ms + limits_.report_ms * 5 / 4;
@@ -418,8 +418,8 @@
 }
 
 // What still waits, after a moment in which another machine may have had room: it may stop work of
-// lower rank here, and, within its guarantee, what other teams have borrowed.
-void Part::make_room(Machine& m, const Proof& proof, Ms now, std::vector<Order>& out) {
+// lower priority here, and, within its guarantee, what other teams have borrowed.
+void Part::make_room(Machine& m, const Proof& proof, Ms now, std::vector<Command>& out) {
   // Guard: a guarantee is reclaimed no sooner than its aim asks for. What borrows ends by itself in
   // most cases; stopped at once, most arrays that were late had lost their last tasks again and
   // again.
@@ -430,23 +430,24 @@
     ++steps_;
     auto within = [&] { return team_cpus_[j->team] + j->spec.cpus <= teams_[j->team].cpus + kEps; };
     const Ms waited = now - j->waiting_since;
-    const bool by_rank = j->spec.rank > Rank::standard && waited >= constants::kPreemptAfterMs;
+    const bool by_priority =
+        j->spec.priority > Priority::standard && waited >= constants::kPreemptAfterMs;
     // Guard: what fits into room that is free on machines which have not reported yet needs no
     // victims. On jelajah-grown some jobs had each of their tasks stopped for nothing.
     const bool by_guarantee =
         waited >= reclaim_after && within() && j->queued * j->spec.cpus > free_for(*j);
-    if ((!by_rank && !by_guarantee) || !open_to(m, *j) || !may_start(m, *j, proof, now) ||
+    if ((!by_priority && !by_guarantee) || !open_to(m, *j) || !may_start(m, *j, proof, now) ||
         better_elsewhere(m, *j, now))
       continue;
-    while (by_rank && j->queued > 0 && preempt_for(m, *j, proof.cpus, false, out)) {
+    while (by_priority && j->queued > 0 && preempt_for(m, *j, proof.cpus, false, out)) {
     }
     while (by_guarantee && j->queued > 0 && within() && preempt_for(m, *j, proof.cpus, true, out)) {
     }
   }
 }
 
-std::vector<Order> Part::place(const std::string& machine, Ms now) {
-  std::vector<Order> out;
+std::vector<Command> Part::place(const std::string& machine, Ms now) {
+  std::vector<Command> out;
   now_ = now;
   auto it = machines_.find(machine);
   if (it == machines_.end()) return out;
--- a/src/core/queue.cc
+++ b/src/core/queue.cc
@@ -9,17 +9,19 @@
 // Who goes first: the smaller one. `later`: so much less urgent than it is.
 template <class J>
 auto urgency(const J& j, Ms later) {
-  // Guard: idle-time work starved behind a queue of higher rank that never ended.
-  const Rank rank = j.starving ? std::max(j.spec.rank, Rank::standard) : j.spec.rank;
-  return std::tuple(-static_cast<int>(rank), !j.starving, j.stage, j.latest_start + later, j.stamp);
+  // Guard: idle-time work starved behind a queue of higher priority that never ended.
+  const Priority priority =
+      j.starving ? std::max(j.spec.priority, Priority::standard) : j.spec.priority;
+  return std::tuple(-static_cast<int>(priority), !j.starving, j.stage, j.latest_start + later,
+                    j.stamp);
 }
 
 }  // namespace
 
-// Within a rank, oldest first among jobs that nothing is expected of. Where an aim or a deadline
-// stands, its latest start takes the place of the age: an extension of the design, measured (see
-// docs/design.md). A job that can no longer meet an aim lets those that can go first, but not for
-// ever.
+// Within a priority, oldest first among jobs that nothing is expected of. Where an aim or a
+// deadline stands, its latest start takes the place of the age: an extension of the design,
+// measured (see docs/design.md). A job that can no longer meet an aim lets those that can go first,
+// but not for ever.
 void Part::reorder(Ms now) {
   reordered_ = now;
   waiting_known_ = false;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -10,17 +10,17 @@
 
 namespace eiderreel {
 
-enum class Rank : std::uint8_t { best_effort, standard, high, production };
+enum class Priority : std::uint8_t { best_effort, standard, high, production };
 enum class Kind : std::uint8_t { array, service };
 enum class JobPhase : std::uint8_t { queued, running, done, cancelled };
 enum class TaskPhase : std::uint8_t { pulling, running, flushing, exited };
-enum class Cause : std::uint8_t { none, done, stopped, error, no_room, busy, no_such };
+enum class ExitReason : std::uint8_t { none, done, stopped, error, no_room, busy, no_such };
 enum class Verb : std::uint8_t { launch, kill, clear };
 
 struct JobSpec {
   std::string id, jobclass, team;
   Kind kind = Kind::array;
-  Rank rank = Rank::standard;
+  Priority priority = Priority::standard;
   std::uint32_t tasks = 1;
   double cpus = 0, gpus = 0, memory_gb = 0;
   std::vector<std::string> types;  // empty: any
@@ -55,7 +55,7 @@
   std::uint32_t index = 0;
   std::uint64_t attempt = 0;
   TaskPhase phase = TaskPhase::pulling;
-  Cause cause = Cause::none;
+  ExitReason exit_reason = ExitReason::none;
 };
 
 struct Report {
@@ -66,7 +66,7 @@
   std::vector<TaskReport> tasks;
 };
 
-struct Order {
+struct Command {
   Verb verb = Verb::launch;
   std::string job;
   std::uint32_t index = 0;
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -44,7 +44,7 @@
   ASSERT_TRUE(p.spec) << p.error;
   EXPECT_EQ(p.spec->id, "run-000412");
   EXPECT_EQ(p.spec->tasks, 16u);
-  EXPECT_EQ(p.spec->rank, Rank::high);
+  EXPECT_EQ(p.spec->priority, Priority::high);
   EXPECT_EQ(p.spec->types, std::vector<std::string>{"g8"});
   EXPECT_EQ(p.spec->zone, "");
   EXPECT_EQ(p.spec->deadline_s, 900.0);
--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -305,7 +305,7 @@
     JobSpec idle = w.job("run-900", "guest", 40, 1, 60),
             whole = w.job("run-901", "guest", 3, 8, 30);
     for (JobSpec* j : {&idle, &whole}) {
-      j->rank = Rank::best_effort;
+      j->priority = Priority::best_effort;
       j->deadline_s.reset();
       j->jobclass = j->id;
       w.submit(*j);
--- a/tests/part_test.cc
+++ b/tests/part_test.cc
@@ -45,13 +45,13 @@
     return r;
   }
   // What the machine reports once it has obeyed these starts.
-  static std::vector<TaskReport> running_of(const std::vector<Order>& starts) {
+  static std::vector<TaskReport> running_of(const std::vector<Command>& starts) {
     std::vector<TaskReport> out;
     for (const auto& o : starts) out.push_back(task(o.job, o.index, o.attempt));
     return out;
   }
   static TaskReport task(const std::string& j, std::uint32_t i, std::uint64_t attempt,
-                         TaskPhase p = TaskPhase::running, Cause c = Cause::none) {
+                         TaskPhase p = TaskPhase::running, ExitReason c = ExitReason::none) {
     return {j, i, attempt, p, c};
   }
 };
@@ -142,15 +142,15 @@
   part.on_report(report("m-1"), 100);
   auto s = part.place("m-1", 100);
   auto done = [&] {
-    return report("m-1", {task("run-1", 0, s[0].attempt, TaskPhase::exited, Cause::done),
+    return report("m-1", {task("run-1", 0, s[0].attempt, TaskPhase::exited, ExitReason::done),
                           task("run-1", 1, s[1].attempt)});
   };
-  EXPECT_TRUE(part.on_report(done(), 200).orders.empty());
+  EXPECT_TRUE(part.on_report(done(), 200).commands.empty());
   EXPECT_EQ(part.unrecorded("run-1"), std::vector<std::uint32_t>{0});
   part.mark_recorded("run-1", {0});
   auto a = part.on_report(done(), 300);
-  ASSERT_EQ(a.orders.size(), 1u);
-  EXPECT_EQ(a.orders[0].verb, Verb::clear);
+  ASSERT_EQ(a.commands.size(), 1u);
+  EXPECT_EQ(a.commands[0].verb, Verb::clear);
 }
 
 TEST_F(PartTest, ACancelledJobIsKilledAndKeepsItsShareUntilGone) {
@@ -165,7 +165,7 @@
   part.close_job("run-1");
   auto kills = part.take_kills();
   ASSERT_EQ(kills.size(), 1u);
-  EXPECT_EQ(kills[0].orders.size(), 8u);
+  EXPECT_EQ(kills[0].commands.size(), 8u);
   // The limit is 12: four more fit while the eight are not seen to be gone.
   part.open_job(job("run-2", 8), 12, false, {});
   part.on_report(report("m-2"), 300);
@@ -259,19 +259,19 @@
   const auto running = running_of(s);
   JobSpec service = job("run-2", 1);
   service.kind = Kind::service;
-  service.rank = Rank::production;
+  service.priority = Priority::production;
   service.cpus = 2;
   part.open_job(service, 12, false, {});
   part.on_report(report("m-1", running), 200);
   EXPECT_TRUE(part.place("m-1", 200).empty());  // a moment for other machines
   part.on_report(report("m-1", running), 1200);
-  auto orders = part.place("m-1", 1200);
-  ASSERT_EQ(orders.size(), 3u);
-  EXPECT_EQ(orders[0].verb, Verb::kill);
-  EXPECT_EQ(orders[1].verb, Verb::kill);
-  EXPECT_EQ(orders[2].verb, Verb::launch);
-  EXPECT_EQ(orders[2].job, "run-2");
-  EXPECT_EQ(orders[0].index, 7u);  // the youngest go
+  auto commands = part.place("m-1", 1200);
+  ASSERT_EQ(commands.size(), 3u);
+  EXPECT_EQ(commands[0].verb, Verb::kill);
+  EXPECT_EQ(commands[1].verb, Verb::kill);
+  EXPECT_EQ(commands[2].verb, Verb::launch);
+  EXPECT_EQ(commands[2].job, "run-2");
+  EXPECT_EQ(commands[0].index, 7u);  // the youngest go
 }
 
 // Within its guarantee a team reclaims what another has borrowed, and no more.
@@ -286,9 +286,9 @@
   part.on_report(report("m-1", running), 200);
   EXPECT_TRUE(part.place("m-1", 200).empty());
   part.on_report(report("m-1", running), 4200);
-  auto orders = part.place("m-1", 4200);
+  auto commands = part.place("m-1", 4200);
   int kills = 0, launches = 0;
-  for (const auto& o : orders) (o.verb == Verb::kill ? kills : launches)++;
+  for (const auto& o : commands) (o.verb == Verb::kill ? kills : launches)++;
   EXPECT_EQ(kills, 4);  // red keeps its four
   EXPECT_EQ(launches, 4);
 }
@@ -304,7 +304,7 @@
   ASSERT_EQ(s.size(), 1u);
   EXPECT_EQ(s[0].index, constants::kTasksMax - 1);
   part.on_report(
-      report("m-1", {task("run-1", s[0].index, s[0].attempt, TaskPhase::exited, Cause::done)}),
+      report("m-1", {task("run-1", s[0].index, s[0].attempt, TaskPhase::exited, ExitReason::done)}),
       200);
   EXPECT_TRUE(part.complete("run-1"));
   std::size_t recorded = 0;
@@ -510,7 +510,7 @@
   auto freed = [&](Ms now) {
     auto tasks = running_of(starts);
     tasks.back().phase = TaskPhase::exited;
-    tasks.back().cause = Cause::done;
+    tasks.back().exit_reason = ExitReason::done;
     part.on_report(report("m-1", tasks), now);
     part.answered("m-1", now);
     part.tick(now);
@@ -575,7 +575,7 @@
     ASSERT_EQ(part.place("m-1", now).size(), 1u) << n;
     part.answered("m-1", now);
     part.on_report(report("m-1", {task(s.id, 0, (12 << constants::kAttemptBits) + n + 1,
-                                       TaskPhase::exited, Cause::done)}),
+                                       TaskPhase::exited, ExitReason::done)}),
                    now);
     part.close_job(s.id);
   }
--- a/tests/standin/world.cc
+++ b/tests/standin/world.cc
@@ -654,10 +654,10 @@
 
 void World::set_sick(const std::string& id, bool on) { workers_.at(id)->sick = on; }
 
-void World::end_task(Worker& w, const TaskKey& key, Task& t, const std::string& cause) {
+void World::end_task(Worker& w, const TaskKey& key, Task& t, const std::string& exit_reason) {
   if (t.phase == "running") checker_.task_off(w.id, key.first, key.second);
   t.phase = "exited";
-  t.cause = cause;
+  t.exit_reason = exit_reason;
   w.changed = true;
 }
 
@@ -760,7 +760,7 @@
     tasks += (tasks.empty() ? "" : ",") +
              ("{\"shard\":\"" + key.first + "/" + std::to_string(key.second) +
               "\",\"try\":" + std::to_string(t.attempt) + ",\"phase\":\"" + t.phase + "\"" +
-              (t.cause.empty() ? "" : ",\"cause\":\"" + t.cause + "\"") + "}");
+              (t.exit_reason.empty() ? "" : ",\"cause\":\"" + t.exit_reason + "\"") + "}");
   }
   const std::string notice =
       w.taken_at >= 0 ? std::to_string(std::max(0.0, w.taken_at - now())) : "null";
@@ -928,7 +928,7 @@
                        double cpus) {
   JobSpec s = job(id, team, tasks, cpus);
   s.kind = Kind::service;
-  s.rank = Rank::production;
+  s.priority = Priority::production;
   s.spot = false;
   return s;
 }
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -163,7 +163,7 @@
   };
   struct Task {
     std::uint64_t attempt = 0;
-    std::string phase, cause;
+    std::string phase, exit_reason;
     double left_s = 0;
   };
   using TaskKey = std::pair<std::string, std::uint32_t>;
@@ -205,7 +205,7 @@
   void send_report(Worker& w);
   void take_answer(Worker& w, Ms sent, std::uint64_t tenure, const HttpReply& r, int node);
   void obey(Worker& w, const std::string& body);
-  void end_task(Worker& w, const TaskKey& key, Task& t, const std::string& cause);
+  void end_task(Worker& w, const TaskKey& key, Task& t, const std::string& exit_reason);
   void end_lease(Worker& w);
   void lose(Worker& w, const char* why);
   std::string report_body(Worker& w);
--- a/tests/trace_test.cc
+++ b/tests/trace_test.cc
@@ -312,7 +312,7 @@
   w.run_until(62);
   EXPECT_EQ(status, 200);
   EXPECT_EQ(phase, "cancelled");
-  EXPECT_EQ(w.node(1)->registrar().counters().replies.count(410), 1u);
+  EXPECT_EQ(w.node(1)->state_store().counters().replies.count(410), 1u);
   for (int i = 1; i <= 6; ++i) EXPECT_EQ(w.phase("run-" + std::to_string(i)), "done");
   compare(w, "changes_missed");
 }
@@ -384,7 +384,7 @@
   expect_usual_load_ends(w);
   EXPECT_EQ(w.phase("run-1"), "done");
   // No phantom: what the service counts as machines are those that are there.
-  EXPECT_LE(w.node(0)->registrar().view().machines.size(), w.machines_up());
+  EXPECT_LE(w.node(0)->state_store().view().machines.size(), w.machines_up());
   expect_all_answered(w, kUsual);
   compare(w, "late_copies");
 }
