One way to stop a task and one trial fit beside what stays, in place of two each

Part::drain and preempt_for worked out a kill with time to save each for itself, reserve_room and preempt_for a fit on an emptied machine.

--- a/src/core/part.h
+++ b/src/core/part.h
@@ -278,6 +278,8 @@
                    std::vector<Command>& out);
   bool may_stop(const Bound& victim, const Job& j, bool by_guarantee) const;
   bool fits(const Machine& m, const Job& j, double unproven_cpus) const;
+  bool fits_beside(Machine& m, const Job& j, double unproven_cpus, double cpus) const;
+  bool stop(const TaskKey& key, Bound& task, std::vector<Command>& out);
   const Proof& proof();
   void count_unknown(Machine& m, int by);
   void set_proven(Machine& m);
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -28,6 +28,15 @@
   return true;
 }
 
+// Whether the job would fit if of all that runs here only so many CPUs stayed.
+bool Part::fits_beside(Machine& m, const Job& j, double unproven, double cpus) const {
+  const auto taken = std::tuple(m.cpus, m.gpus, m.memory_gb);
+  std::tie(m.cpus, m.gpus, m.memory_gb) = std::tuple(cpus, 0.0, 0.0);
+  const bool would_fit = fits(m, j, unproven);
+  std::tie(m.cpus, m.gpus, m.memory_gb) = taken;
+  return would_fit;
+}
+
 Part::Fill Part::fill(const Machine& m) {
   if (m.service_cpus > 0) return kServices;
   if (m.tasks.empty()) return kIdle;
@@ -219,14 +228,21 @@
     if (b.killing) return;
   for (auto& [key, b] : m.tasks) {
     if (!b.service || !b.job || b.job->held || !room_beside(m, *b.job, proof, now)) continue;
-    const JobSpec& s = b.job->spec;
-    b.killing = true;
-    b.grace_s = s.checkpoint_s > 0 && b.phase == TaskPhase::running ? s.save_s : 0;
-    out.push_back({Verb::kill, key.first, key.second, b.attempt, b.grace_s});
+    stop(key, b, out);
     return;
   }
 }
 
+// Tells a task to end; true when it is gone at once, since it has nothing to save.
+bool Part::stop(const TaskKey& key, Bound& task, std::vector<Command>& out) {
+  const JobSpec& spec = task.job->spec;
+  const bool saves = spec.checkpoint_s > 0 && task.phase == TaskPhase::running;
+  task.killing = true;
+  task.grace_s = saves ? spec.save_s : 0;
+  out.push_back({Verb::kill, key.first, key.second, task.attempt, task.grace_s});
+  return !saves;
+}
+
 bool Part::room_beside(const Machine& m, const Job& j, const Proof& proof, Ms now) const {
   return std::any_of(machines_.begin(), machines_.end(), [&](const auto& other) {
     const Machine& o = *other.second;
@@ -316,20 +332,10 @@
     victims.push_back(c);
   }
   if (!enough()) return false;
-  // The other conditions, as if the machine were empty.
-  const double taken_cpus = m.cpus, taken_gpus = m.gpus, taken_memory = m.memory_gb;
-  m.cpus = m.gpus = m.memory_gb = 0;
-  const bool fits_here = fits(m, j, unproven);
-  m.cpus = taken_cpus, m.gpus = taken_gpus, m.memory_gb = taken_memory;
-  if (!fits_here) return false;
+  if (!fits_beside(m, j, unproven, 0)) return false;
   bool at_once = true;
   for (auto& [key, b] : victims) {
-    const JobSpec& v = b->job->spec;
-    const bool saves = v.checkpoint_s > 0 && b->phase == TaskPhase::running;
-    at_once &= !saves;
-    b->killing = true;
-    b->grace_s = saves ? v.save_s : 0;
-    out.push_back({Verb::kill, key.first, key.second, b->attempt, b->grace_s});
+    at_once &= stop(key, *b, out);
     ++preemptions_;
   }
   if (at_once) start_one(m, j, out);
@@ -394,12 +400,7 @@
     if (!j->starving || now - j->accepted < after || !may_start(m, *j, proof, now) ||
         fits(m, *j, proof.cpus))
       continue;
-    // The other conditions, as if it ran services alone.
-    const auto taken = std::tuple(m.cpus, m.gpus, m.memory_gb);
-    std::tie(m.cpus, m.gpus, m.memory_gb) = std::tuple(m.service_cpus, 0.0, 0.0);
-    const bool would_fit = fits(m, *j, proof.cpus);
-    std::tie(m.cpus, m.gpus, m.memory_gb) = taken;
-    if (!would_fit) continue;
+    if (!fits_beside(m, *j, proof.cpus, m.service_cpus)) continue;
     reservation_ = {m.id, j->spec.id};
     return;
   }
