--- a/src/core/part.h
+++ b/src/core/part.h
@@ -23,6 +23,9 @@
   std::map<std::string, std::vector<FinishAim>> aims;  // by class
   std::map<std::string, double> waits;                 // seconds to a start, by class
   Ms guarantee_ms = 5000;  // work within a guarantee should start by then
+
+  // The time in which every machine reports; an interval is a quarter longer at most.
+  Ms all_reported_ms() const { return report_ms * 5 / 4; }
 };
 
 enum class Verdict {
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -173,7 +173,7 @@
   if (j.spec.kind == Kind::array) {
     // Until all machines have reported, but no longer than the fetch would take.
     const auto image = static_cast<std::size_t>(j.image);
-    return waited < std::min(fetch_ms(m, j), limits_.report_ms * 5 / 4) &&
+    return waited < std::min(fetch_ms(m, j), limits_.all_reported_ms()) &&
            image < totals_.with_image.size() && totals_.with_image[image] >= j.spec.cpus;
   }
   const bool image = m.images.count(j.image) > 0;
@@ -354,9 +354,9 @@
 // a job are alike, so they are decided together.
 void Part::launch(Machine& m, const std::vector<Job*>& order, bool within, const Proof& proof,
                   Ms now, std::vector<Command>& out) {
-  const Ms pack_ms = std::min(constants::kPackWaitMs, limits_.report_ms * 5 / 4);
+  const Ms pack_ms = std::min(constants::kPackWaitMs, limits_.all_reported_ms());
   // By then every other machine has reported.
-  const Ms spare_ms = pack_ms + limits_.report_ms * 5 / 4;
+  const Ms spare_ms = pack_ms + limits_.all_reported_ms();
   for (Job* j : order) {
     if (m.cpus + least_cpus_ > m.type->cpus + kEps) return;
     if (!open_to(m, *j) || !may_start(m, *j, proof, now) || better_elsewhere(m, *j, now)) continue;
@@ -395,7 +395,7 @@
     reservation_ = {};
   if (!reservation_.machine.empty()) return;
   // By then every machine has reported since it starves.
-  const Ms after = constants::kStarvingMs + limits_.report_ms * 5 / 4;
+  const Ms after = constants::kStarvingMs + limits_.all_reported_ms();
   for (Job* j : waiting()) {
     if (!j->starving || now - j->accepted < after || !may_start(m, *j, proof, now) ||
         fits(m, *j, proof.cpus))
@@ -426,7 +426,7 @@
   // again.
   const Ms reclaim_after =
       std::max(constants::kReclaimSoonestMs,
-               limits_.guarantee_ms - constants::kReclaimMarginMs - limits_.report_ms * 5 / 4);
+               limits_.guarantee_ms - constants::kReclaimMarginMs - limits_.all_reported_ms());
   for (Job* j : waiting()) {
     ++steps_;
     auto within = [&] { return team_cpus_[j->team] + j->spec.cpus <= teams_[j->team].cpus + kEps; };
