--- a/tests/part_test.cc
+++ b/tests/part_test.cc
@@ -14,13 +14,14 @@
   Part part{0, kTerm, 0, kLimits, {{"red", 4, 12, 0, 0}, {"blue", 4, 12, 0, 0}}};
   std::uint64_t tick = 0;
 
-  void SetUp() override {
-    MachineType box;
-    box.name = "box";
-    box.cpus = 8;
-    box.memory_gb = 64;
-    box.zones = {"a", "b"};
-    part.set_types({box});
+  void SetUp() override { part.set_types({box()}); }
+  static MachineType box() {
+    MachineType t;
+    t.name = "box";
+    t.cpus = 8;
+    t.memory_gb = 64;
+    t.zones = {"a", "b"};
+    return t;
   }
   static JobSpec job(const std::string& id, std::uint32_t tasks = 4, const char* team = "red") {
     JobSpec s;
@@ -447,12 +448,7 @@
   PartLimits limits = kLimits;
   limits.guarantee_ms = 15000;
   Part patient{0, kTerm, 0, limits, {{"red", 4, 12, 0, 0}, {"blue", 4, 12, 0, 0}}};
-  MachineType box;
-  box.name = "box";
-  box.cpus = 8;
-  box.memory_gb = 64;
-  box.zones = {"a"};
-  patient.set_types({box});
+  patient.set_types({box()});
   patient.add_machine("m-1", 12, true, 0);
   patient.open_job(job("run-1", 8, "red"), 11, false, {});
   patient.on_report(report("m-1", {}, 12), 100);
--- a/tests/trace_test.cc
+++ b/tests/trace_test.cc
@@ -451,8 +451,10 @@
     World w(o);
     usual_load(w, 5);
     w.at(9 + 0.13 * static_cast<double>(seed), [&] { w.freeze(1, 30); });
+    w.at(25, [&] { EXPECT_NE(w.owner_of(1), 1); });
     w.run_until(60);
     expect_no_lease_ends(w);
+    EXPECT_TRUE(w.checker().broken().empty());
   }
 }
 
