The answer that tells a newer term kills the tasks of jobs that are over or called off

Symptom: ran_cancelled at production size, on tens of machines. Cause: a report sent under an older term is answered 200 with the new term alone. That answer renews the worker's lease but carried no kills. A machine that cannot be reached when its job is cancelled, and for the rest of its lease, is told the term of a new owner just in time; cut off again before its next report, it keeps the cancelled task for the whole of the renewed lease. Quick ends of leaders do the same by repeating the answer. Excluded: every other 200 comes after the list of tasks was taken in under the current term, and kills each task whose job is over or called off. A core with such a job still open cannot act: the final record is guarded by the term of the core that writes it, and a new core waits for its view. Mend: that answer carries the kills that are owed, whatever the age of the report: such a job is never started again, and a kill names one attempt. Nothing else of the report is believed. The simulated worker now reports a higher token at once only once within half a lease, as the protocol says; it did so every time, which hid this.

--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -396,6 +396,19 @@
 
 bool Part::deaf(const Machine& m) { return m.unheard >= constants::kDeafAnswers; }
 
+// Kills for the tasks in a report whose job is over or called off. They hold whatever the age of
+// the report: such a job is never started again, and a kill names one attempt.
+std::vector<Command> Part::kills_owed(const Report& r) const {
+  std::vector<Command> kills;
+  for (const TaskReport& task : r.tasks) {
+    if (task.phase == TaskPhase::exited) continue;
+    const auto job = jobs_.find(task.job);
+    if (job == jobs_.end() || job->second->cancelling)
+      kills.push_back({Verb::kill, task.job, task.index, task.attempt, 0});
+  }
+  return kills;
+}
+
 Answer Part::on_report(const Report& r, Ms now) {
   Answer a;
   now_ = now;
@@ -443,6 +456,11 @@
     // It was told our term, twice, and does not show it.
     if (m.raises > constants::kRaises && now - m.raised_at > constants::kWorkerPatienceMs)
       return {Verdict::stale, a.term, {}};
+    // Invariant 7. Guard: this answer renews the lease like any other. Without kills in it, tasks
+    // of a job whose user had been told that it is cancelled outlived `cancel_s`: machines that
+    // hung at the cancellation were told the term of a new owner, and could not be reached after
+    // that.
+    a.commands = kills_owed(r);
     return a;
   }
   m.raises = 0;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -233,6 +233,7 @@
   };
 
   void kill_tasks(const std::string& id);
+  std::vector<Command> kills_owed(const Report& r) const;
   void release(Machine& m, TaskKey key, bool again);
   void bind(Machine& m, Job& j, std::uint32_t i, std::uint64_t attempt, TaskPhase p);
   void requeue(Job& j, std::uint32_t i);
--- /dev/null
+++ b/tests/cancellation_test.cc
@@ -0,0 +1,70 @@
+// Cancellations under faults: whatever happens to controllers, machines and messages, the tasks of
+// a cancelled job are gone within the time the protocol allows.
+#include <gtest/gtest.h>
+
+#include "standin/world.h"
+
+using namespace eiderreel;
+using namespace eiderreel::standin;
+
+namespace {
+
+// A deployment whose machines report so seldom that two leases outlast a cancellation.
+Options slow_reports(std::uint64_t seed) {
+  Options o;
+  o.seed = seed;
+  o.report_s = 5;
+  o.lease_s = 26;
+  o.cancel_s = 44;
+  return o;
+}
+
+std::string address(const std::string& machine) { return "w-" + machine; }
+
+class CancelledWhileMachinesAreCutOff : public testing::TestWithParam<std::uint64_t> {
+ public:
+  static constexpr double kCancelled = 30;
+  static constexpr double kHealed = kCancelled + 18.5;  // within the leases of most machines
+};
+
+// Machines are cut off when a job of theirs is cancelled, and its owner ends. They are back within
+// their leases, and the next owner tells them its term, which renews the lease. Before they report
+// again they are cut off once more, for longer than that lease lasts.
+TEST_P(CancelledWhileMachinesAreCutOff, TheAnswerThatTellsANewTermKills) {
+  World w(slow_reports(GetParam()));
+  std::vector<std::string> machines;
+  std::map<std::string, std::uint64_t> tokens;
+  std::size_t cut_off = 0;
+  w.at(5, [&] { w.submit(w.job("run-1", "blue", 24, 1, 400)); });
+  w.at(kCancelled - 0.1, [&] {
+    machines = w.machines_of("run-1");
+    ASSERT_EQ(machines.size(), 24u);
+    for (const auto& machine : machines) {
+      w.cut({address(machine)}, {World::all()}, CutMode::reset);
+      tokens[machine] = w.token_of(machine);
+    }
+  });
+  w.at(kCancelled, [&] { w.cancel("run-1"); });
+  w.at(kCancelled + 2, [&] {
+    ASSERT_GE(w.confirmed("run-1").node, 0);
+    w.crash(w.owner_of(1), 60);
+  });
+  w.at(kHealed, [&] { w.heal(); });
+  for (double t = kHealed; t < kHealed + 15; t += 0.05)
+    w.at(t, [&] {
+      for (auto& [machine, token] : tokens) {
+        if (w.token_of(machine) == token) continue;
+        token = w.token_of(machine);
+        ++cut_off;
+        w.cut({address(machine)}, {World::all()}, CutMode::reset);
+      }
+    });
+  w.run_until(kCancelled + 60);
+  EXPECT_GE(cut_off, 2u);
+  EXPECT_EQ(w.tasks_on("run-1"), 0u);
+  for (const auto& rule : w.checker().broken()) ADD_FAILURE() << "rule broken: " << rule;
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, CancelledWhileMachinesAreCutOff, testing::Values(1, 2, 3));
+
+}  // namespace
--- a/tests/part_test.cc
+++ b/tests/part_test.cc
@@ -75,6 +75,31 @@
   EXPECT_EQ(starts[0].job, "run-1");
 }
 
+// The answer to a report from before our term renews a lease, so it carries the kills that are
+// owed: those of jobs that are over or called off. Nothing else of such a report is believed.
+TEST_F(PartTest, AReportFromBeforeOurTermIsAnsweredWithTheKillsThatAreOwed) {
+  part.add_machine("m-1", 5, false, 0);
+  part.open_job(job("run-1"), 7, true, {});
+  part.open_job(job("run-2"), 8, true, {});
+  part.cancel_job("run-2");
+  const Answer a = part.on_report(
+      report("m-1",
+             {task("run-1", 0, 1), task("run-2", 0, 2, TaskPhase::pulling), task("run-3", 0, 3),
+              task("run-3", 1, 4, TaskPhase::exited, ExitReason::stopped)},
+             kTerm - 1),
+      100);
+  EXPECT_EQ(a.verdict, Verdict::ok);
+  ASSERT_EQ(a.commands.size(), 2u);
+  for (const Command& command : a.commands) {
+    EXPECT_EQ(command.verb, Verb::kill);
+    EXPECT_EQ(command.grace_s, 0);
+  }
+  EXPECT_EQ(a.commands[0].job, "run-2");
+  EXPECT_EQ(a.commands[1].job, "run-3");
+  EXPECT_EQ(part.count().bound, 0u);
+  EXPECT_TRUE(part.place("m-1", 100).empty());
+}
+
 // A report sent before our term may be minutes late: it proves nothing.
 TEST_F(PartTest, AReportFromBeforeOurTermProvesNothing) {
   part.add_machine("m-1", 5, false, 0);
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -115,6 +115,8 @@
   std::size_t reports_taken(int node) const;
   // Whether it is up and has a lease, and how often its lease has ended.
   std::uint64_t tenure_of(const std::string& machine) const { return workers_.at(machine)->tenure; }
+  // The highest token that it has seen.
+  std::uint64_t token_of(const std::string& machine) const { return workers_.at(machine)->epoch; }
   std::size_t held() const { return held_.size(); }  // messages of a cut
   std::size_t copies() const { return copies_sent_; }
   // Lines of the trace that hold this text.
@@ -177,6 +179,7 @@
     std::set<std::string> images;
     int node = 0;
     Ms next_report = 0, last_sent = -100000, lease_from = 0;
+    Ms token_change_at = -100000;  // when a higher token last made it report at once
     bool in_flight = false, changed = false;
     std::uint64_t flight = 0;
     std::vector<std::function<void()>> unread;  // commands that came while it hung
@@ -205,6 +208,7 @@
   void send_report(Worker& w);
   void take_answer(Worker& w, Ms sent, std::uint64_t tenure, const HttpReply& r, int node);
   void obey(Worker& w, const std::string& body);
+  void raise_token(Worker& w, std::uint64_t token);
   void end_task(Worker& w, const TaskKey& key, Task& t, const std::string& exit_reason);
   void end_lease(Worker& w);
   void lose(Worker& w, const char* why);
