An owner answers no worker from a change of the state service once its lease is over

Found while looking for other answers that renew a worker's lease without all that an owner owes. Cause: jobs that open or close make the owner look at its waiting workers at once. That path did not ask whether its own lease is alive; only the pace of 50 ms did. After standing still, changes come first: starts went out under a lease that was over. Excluded: commands by other paths (repeated kills, moves) ask already. Mend: the two functions that answer or command workers ask themselves; kills wait meanwhile.

--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -149,8 +149,11 @@
   reply(200, codec::report_answer(o.core->term_of(machine), commands));
 }
 
-// Work has come or room has freed: the parked machines are looked at, one by one.
+// Work has come or room has freed: the parked machines are looked at, one by one. Invariant 6, guard:
+// whoever has stood still finds changes of the state service before its own pace, and the lease may
+// be over by then.
 void Owner::pump(Owned& o) {
+  if (!acting(o.core->index())) return;
   const Ms now = rt_.now();
   std::vector<std::pair<std::string, std::vector<Command>>> ready;
   const bool waiting = o.core->has_waiting();
@@ -169,7 +172,9 @@
   }
 }
 
+// Invariant 6: without a lease they are kept until the owner is sure of it again, or drops the part.
 void Owner::send_kills(Owned& o) {
+  if (!acting(o.core->index())) return;
   for (auto& kill : o.core->take_kills()) {
     // A worker that waits for its answer hears of it there; the others by /commands.
     if (auto p = o.parked.find(kill.machine); p != o.parked.end()) {
@@ -309,7 +314,7 @@
     if (!o.core->has_job(id)) continue;
     o.core->close_job(id);
     send_kills(o);
-    if (o.active) pump(o);
+    pump(o);
   }
 }
 
@@ -483,6 +488,7 @@
       for (auto& [id, p] : parked) p.reply(503, "");
       continue;
     }
+    send_kills(o);
     pump(o);
     flush(part, o);
   }
--- a/tests/cancellation_test.cc
+++ b/tests/cancellation_test.cc
@@ -67,4 +67,23 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, CancelledWhileMachinesAreCutOff, testing::Values(1, 2, 3));
 
+// An owner stands still until its lease is over. What it finds first when it goes on, before its
+// own pace, is a job that was accepted meanwhile: no reason to answer the workers that still wait.
+TEST(AnOwnerStandsStill, AndAnswersNoWorkerAfterItsLease) {
+  std::size_t met = 0;
+  for (int offset = 0; offset < 40; ++offset) {
+    World w({});
+    const double at = 20 + 0.05 * offset;
+    w.at(at, [&w] { w.freeze(1, 3.9); });
+    w.at(at + 0.01, [&w] {  // one at each controller
+      for (const char* id : {"run-1", "run-2", "run-3"}) w.submit(w.job(id, "blue", 6, 1, 5));
+    });
+    w.at(at + 3.89, [&] { met += !w.node(1)->owner().acting(1); });
+    w.run_until(60);
+    for (const char* id : {"run-1", "run-2", "run-3"}) EXPECT_EQ(w.phase(id), "done");
+    for (const auto& rule : w.checker().broken()) ADD_FAILURE() << at << " rule broken: " << rule;
+  }
+  EXPECT_GE(met, 5u);
+}
+
 }  // namespace
--- a/tests/checker_test.cc
+++ b/tests/checker_test.cc
@@ -186,6 +186,11 @@
 }
 
 // A task that hung and goes on is on its machine all the time.
+TEST_F(CheckerTest, AnsweredWithoutLease) {
+  c.answered_without_lease(1, "n1 answers m-000001");
+  expect("answered_without_lease");
+}
+
 TEST_F(CheckerTest, RanCancelledAfterAHang) {
   accepted(spec("run-1"));
   c.task_on(1, kHere, "run-1", 0);
--- a/tests/standin/world.cc
+++ b/tests/standin/world.cc
@@ -267,8 +267,10 @@
                                 for (auto at = body.find("\"launch\""); at != std::string::npos;
                                      at = body.find("\"launch\"", at + 1))
                                   ++launches_[from];
-                                if (r.path == "/v1/report" && status == 200)
+                                if (r.path == "/v1/report" && status == 200) {
                                   ++reports_taken_[static_cast<int>(i)];
+                                  check_entitled(*procs_[i].node, r.body);
+                                }
                                 back({status, body});
                               });
             });
@@ -278,6 +280,17 @@
       reset);
 }
 
+// Invariant 6: a report is answered with 200 only by an owner whose lease is alive, or who has the
+// promises of all peers.
+void World::check_entitled(const Node& node, const std::string& report) {
+  Document d;
+  d.Parse(report.c_str());
+  const std::string machine = d["host"].GetString();
+  for (const auto& [part, core] : node.owner().parts())
+    if (core->has_machine(machine) && !node.owner().acting(part))
+      checker_.answered_without_lease(now(), node.settings().node + " answers " + machine);
+}
+
 // ------------------------------------------------------------------------------- nodes
 
 void World::start_node(std::size_t i) {
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -202,6 +202,7 @@
   void wake_watches();
   HttpReply follow_now(const std::string& prefix, std::uint64_t since) const;
   void end_grants();
+  void check_entitled(const Node& node, const std::string& report);
   void start_node(std::size_t i);
   void when_awake(std::size_t i, std::function<void()> f);
   void tick_workers();
