An open phase is told only if no end of the job is known by then

Cause: a node that does not reach the owner reads the job's record; with a slow state service the answer comes up to a second late. The node then told 'queued', though its own view knew the end and another node had told the user. The same for an owner's answer that was long on its way. Mend: the view is asked once more when such an answer is passed on.

--- a/src/actors/job_api.cc
+++ b/src/actors/job_api.cc
@@ -100,30 +100,43 @@
 // owner, while its grant is alive, or the state service itself can speak.
 void JobApi::look_up(const std::string& id, bool cancel, Reply reply) {
   const View& v = state_store_.view();
-  if (auto f = v.finals.find(id); f != v.finals.end())
-    return reply(
-        200, cancel ? codec::job_answer(id, f->second) : codec::job_status(id, {f->second, 0, 0}));
+  if (auto final_phase = v.finals.find(id); final_phase != v.finals.end())
+    return tell_final(id, final_phase->second, cancel, reply);
   if (!v.jobs.count(id)) return read_open(id, cancel, std::move(reply));
   ask_owner(id, cancel, [this, id, cancel, reply](int status, std::string body) {
-    if (status != 0) return reply(status, std::move(body));
+    if (status != 0) return tell_open(id, cancel, status, std::move(body), reply);
     read_open(id, cancel, reply);
   });
 }
 
+void JobApi::tell_final(const std::string& id, JobPhase phase, bool cancel,
+                        const Reply& reply) const {
+  reply(200, cancel ? codec::job_answer(id, phase) : codec::job_status(id, {phase, 0, 0}));
+}
+
+// What the owner or the state service said of an open job may have been long on its way. Guard:
+// another node may have told the user of its end meanwhile; an older answer would go back on that.
+void JobApi::tell_open(const std::string& id, bool cancel, int status, std::string body,
+                       const Reply& reply) const {
+  const auto& finals = state_store_.view().finals;
+  if (auto final_phase = finals.find(id); final_phase != finals.end())
+    return tell_final(id, final_phase->second, cancel, reply);
+  reply(status, std::move(body));
+}
+
 // The job's record first, then its final one: it moves from the first to the second only.
 void JobApi::read_open(const std::string& id, bool cancel, Reply reply) {
   state_store_.read(codec::job_key(id), [this, id, cancel, reply](auto row) {
     if (!row) return refuse(reply, "the state service does not answer");
     if (row->stamp != 0) {
       if (cancel) return refuse(reply, "the job's owner cannot be reached; try again");
-      return reply(200, codec::job_status(id, {JobPhase::queued, 0, 0}));
+      return tell_open(id, cancel, 200, codec::job_status(id, {JobPhase::queued, 0, 0}), reply);
     }
     state_store_.read(codec::final_key(id), [this, id, cancel, reply](auto row) {
       if (!row) return refuse(reply, "the state service does not answer");
       if (row->stamp == 0 || !row->final_phase) return reply(404, codec::error_body("no such job"));
       state_store_.remember_final(id, *row->final_phase, row->stamp);
-      reply(200, cancel ? codec::job_answer(id, *row->final_phase)
-                        : codec::job_status(id, {*row->final_phase, 0, 0}));
+      tell_final(id, *row->final_phase, cancel, reply);
     });
   });
 }
--- a/src/actors/job_api.h
+++ b/src/actors/job_api.h
@@ -38,6 +38,9 @@
   // Asks the owner, here or over the mesh; status 0 when it cannot be had.
   void ask_owner(const std::string& id, bool cancel, Reply reply);
   void look_up(const std::string& id, bool cancel, Reply reply);
+  void tell_final(const std::string& id, JobPhase phase, bool cancel, const Reply& reply) const;
+  void tell_open(const std::string& id, bool cancel, int status, std::string body,
+                 const Reply& reply) const;
   void read_open(const std::string& id, bool cancel, Reply reply);
   std::string can_never_run(const JobSpec& j) const;
 
--- a/tests/cancellation_test.cc
+++ b/tests/cancellation_test.cc
@@ -86,4 +86,25 @@
   EXPECT_GE(met, 5u);
 }
 
+// A controller that does not reach the owner asks the state service, which is slow. What it hears
+// may be older than the end of the job, which another controller has told the user meanwhile.
+TEST(TheStateServiceIsSlow, NoOlderAnswerIsGivenAfterACancellationWasTold) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    Options o;
+    o.seed = seed;
+    World w(o);
+    w.at(5, [&w] { w.submit(w.service("run-1", "blue", 1, 1)); });
+    w.at(19, [&w] {
+      w.state_slow(1.2);
+      w.cut({"n0"}, {"n1"}, CutMode::reset);
+    });
+    w.at(22, [&w] { w.cancel("run-1"); });
+    for (double t = 20; t < 30; t += 0.05)
+      w.at(t, [&w] { w.poll_once(0, "run-1", [](int, const std::string&) {}); });
+    w.run_until(40);
+    EXPECT_EQ(w.phase("run-1"), "cancelled");
+    for (const auto& rule : w.checker().broken()) ADD_FAILURE() << seed << " rule broken: " << rule;
+  }
+}
+
 }  // namespace
