--- /dev/null
+++ b/tests/random_days_test.cc
@@ -0,0 +1,242 @@
+// Random days: a load with many cancellations, and troubles drawn in pairs and triples from all
+// that the simulated world knows. A few fixed days run with the other tests. More are searched by
+// hand:
+//
+//   EIDERREEL_DAYS=1-500 target/tests/eiderreel_tests --gtest_filter='RandomDays.*'
+//
+// A day that breaks a rule is told by its number; EIDERREEL_DAYS=N-N plays it again, and with
+// EIDERREEL_TRACE=1 tells what happened.
+#include <gtest/gtest.h>
+
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+
+#include "standin/world.h"
+
+using namespace eiderreel;
+using namespace eiderreel::standin;
+
+namespace {
+
+constexpr int kMachines = 9;
+constexpr double kTroublesBegin = 20, kTroublesEnd = 200, kDayEnds = 330;
+const std::array<const char*, 3> kTeams = {"red", "blue", "gold"};
+
+class RandomDay {
+ public:
+  explicit RandomDay(std::uint64_t number) : random_(number * 7919), world_(options(number)) {
+    add_jobs();
+    for (double t = kTroublesBegin; t < kTroublesEnd - 40; t += number_in(10, 35))
+      for (int n = 0; n < 3; ++n) add_trouble(t + number_in(0, 8));
+    world_.at(kTroublesEnd, [this] { end_all_troubles(); });
+  }
+
+  World& world() { return world_; }
+  void play() { world_.run_until(kDayEnds); }
+  std::size_t cancelled() const { return cancelled_; }
+
+ private:
+  // Reports every second, or so seldom that two leases outlast a cancellation.
+  Options options(std::uint64_t number) {
+    Options o;
+    o.seed = number;
+    o.machines = kMachines;
+    if (number % 2) {
+      o.report_s = 5;
+      o.lease_s = 26;
+      o.cancel_s = 44;
+    }
+    lease_s_ = o.lease_s;
+    return o;
+  }
+
+  double number_in(double least, double most) {
+    return std::uniform_real_distribution<double>(least, most)(random_);
+  }
+  int pick(int count) { return std::uniform_int_distribution<int>(0, count - 1)(random_); }
+  bool likely(double share) { return number_in(0, 1) < share; }
+
+  std::vector<std::string> some_machines() {
+    std::vector<std::string> out;
+    for (int n = 1 + pick(kMachines / 2); n > 0; --n)
+      out.push_back("m-00000" + std::to_string(pick(kMachines)));
+    return out;
+  }
+
+  // Services and arrays all day; most are called off at some time, some of them at once.
+  void add_jobs() {
+    int next = 0;
+    for (double t = 5; t < kTroublesEnd; t += number_in(0.5, 5)) {
+      const std::string id = "run-" + std::to_string(++next);
+      const char* team = kTeams[static_cast<std::size_t>(pick(3))];
+      const bool service = likely(0.4);
+      JobSpec job = service ? world_.service(id, team, 1, 1 + pick(2))
+                            : world_.job(id, team, static_cast<std::uint32_t>(1 + pick(8)), 1,
+                                         number_in(2, 60));
+      if (likely(0.3)) {
+        job.checkpoint_s = 5;
+        job.save_s = 4;
+      }
+      world_.at(t, [this, job] { world_.submit(job); });
+      if (!service && likely(0.3)) continue;
+      ++cancelled_;
+      world_.at(t + number_in(0.1, service ? 90 : 30), [this, id] { world_.cancel(id); });
+    }
+  }
+
+  void during(double t, double for_s, std::function<void()> begin, std::function<void()> end) {
+    world_.at(t, std::move(begin));
+    world_.at(t + for_s, std::move(end));
+  }
+
+  void add_trouble(double t) {
+    switch (pick(4)) {
+      case 0:
+        return add_controller_trouble(t);
+      case 1:
+        return add_machine_trouble(t);
+      case 2:
+        return add_state_trouble(t);
+      default:
+        return add_network_trouble(t);
+    }
+  }
+
+  void add_controller_trouble(double t) {
+    const int node = pick(3);
+    const double back_s = std::array{0.2, 1.0, 4.0, 12.0}[static_cast<std::size_t>(pick(4))];
+    const double still_s = std::array{0.8, 2.5, 4.2, 12.0}[static_cast<std::size_t>(pick(4))];
+    switch (pick(4)) {
+      case 0:
+        return world_.at(t, [=, this] { world_.crash(node, back_s); });
+      case 1:
+        return world_.at(t, [=, this] {
+          for (int n = 0; n < 3; ++n) world_.crash(n, back_s + n);
+        });
+      case 2:
+        return world_.at(t, [=, this] {
+          if (const int owner = world_.owner_of(node); owner >= 0) world_.crash(owner, back_s);
+        });
+      default:
+        return world_.at(t, [=, this] { world_.freeze(node, still_s); });
+    }
+  }
+
+  void add_machine_trouble(double t) {
+    const auto machines = some_machines();
+    const double for_s =
+        std::array{3.0, lease_s_ - 2, lease_s_ + 3}[static_cast<std::size_t>(pick(3))];
+    auto set = [this, machines](void (World::*trouble)(const std::string&, bool), bool on) {
+      return [this, machines, trouble, on] {
+        for (const auto& machine : machines) (world_.*trouble)(machine, on);
+      };
+    };
+    const std::array kinds = {&World::freeze_machine, &World::deafen, &World::mute};
+    const auto kind = kinds[static_cast<std::size_t>(pick(3))];
+    during(t, for_s, set(kind, true), set(kind, false));
+  }
+
+  void add_state_trouble(double t) {
+    const int node = pick(3);
+    const double for_s = std::array{4.0, 12.0, 30.0}[static_cast<std::size_t>(pick(3))];
+    switch (pick(4)) {
+      case 0:
+        return during(
+            t, for_s, [this] { world_.state_outage(true); },
+            [this] { world_.state_outage(false); });
+      case 1:
+        return during(
+            t, for_s, [=, this] { world_.state_refuses(node, true); },
+            [=, this] { world_.state_refuses(node, false); });
+      case 2:
+        return during(
+            t, for_s,
+            [this] {
+              world_.late_writes({0.3, 0.5, 12});
+            },
+            [this] { world_.late_writes({}); });
+      default:
+        return during(
+            t, for_s, [this] { world_.state_slow(1.2); }, [this] { world_.state_slow(0); });
+    }
+  }
+
+  void add_network_trouble(double t) {
+    const std::string node = "n" + std::to_string(pick(3));
+    const CutMode mode = likely(0.5) ? CutMode::hold : CutMode::reset;
+    const double for_s = number_in(3, lease_s_ + 5);
+    std::set<std::string> workers;
+    for (const auto& machine : some_machines()) workers.insert("w-" + machine);
+    auto cut = [=, this](std::set<std::string> a, std::set<std::string> b) {
+      during(
+          t, for_s, [=, this] { world_.cut(a, b, mode); }, [this] { world_.heal(); });
+    };
+    switch (pick(5)) {
+      case 0:
+        return cut(workers, {World::all()});
+      case 1:
+        return cut({node}, {"state"});
+      case 2:
+        return cut({node}, {"state", "n0", "n1", "n2"});
+      case 3:
+        return during(
+            t, for_s, [this] { world_.copy_reports(true); },
+            [this] { world_.copy_reports(false); });
+      default:
+        return during(
+            t, for_s,
+            [this] {
+              world_.late_commands({0.7, 2, 16});
+            },
+            [this] { world_.late_commands({}); });
+    }
+  }
+
+  void end_all_troubles() {
+    world_.heal();
+    world_.state_outage(false);
+    world_.late_writes({});
+    world_.late_commands({});
+    world_.state_slow(0);
+    world_.copy_reports(false);
+    for (int n = 0; n < 3; ++n) world_.state_refuses(n, false);
+    world_.troubles_over();
+    for (int i = 0; i < kMachines; ++i) {
+      const std::string machine = "m-00000" + std::to_string(i);
+      world_.freeze_machine(machine, false);
+      world_.deafen(machine, false);
+      world_.mute(machine, false);
+    }
+  }
+
+  std::mt19937_64 random_;
+  double lease_s_ = 0;
+  World world_;
+  std::size_t cancelled_ = 0;
+};
+
+std::pair<std::uint64_t, std::uint64_t> days() {
+  std::pair<std::uint64_t, std::uint64_t> range{1, 12};
+  if (const char* asked = std::getenv("EIDERREEL_DAYS")) {
+    const std::string text = asked;
+    range = {std::stoull(text), std::stoull(text.substr(text.find('-') + 1))};
+  }
+  return range;
+}
+
+TEST(RandomDays, KeepTheRules) {
+  const auto [first, last] = days();
+  for (std::uint64_t number = first; number <= last; ++number) {
+    RandomDay day(number);
+    day.play();
+    EXPECT_GT(day.cancelled(), 20u);
+    EXPECT_GT(day.world().checker().starts(), 50u);
+    for (const auto& rule : day.world().checker().broken())
+      ADD_FAILURE() << "day " << number << ": " << rule;
+    if (std::getenv("EIDERREEL_TRACE"))
+      for (const auto& line : day.world().trace()) std::puts(line.c_str());
+  }
+}
+
+}  // namespace
--- a/tests/standin/world.cc
+++ b/tests/standin/world.cc
@@ -275,11 +275,25 @@
                               });
             });
         for (auto& [id, w] : workers_)
-          if (w->addr == to) return serve_worker(*w, r, std::move(back));
+          if (w->addr == to) {
+            if (r.path == "/commands" && late_commands_.share > 0 &&
+                chance() < late_commands_.share)
+              return hold_command(*w, r);
+            return serve_worker(*w, r, std::move(back));
+          }
       },
       reset);
 }
 
+// Held up on its way: it is carried out once, late, and nobody hears of it.
+void World::hold_command(Worker& w, const HttpRequest& r) {
+  ++commands_late_;
+  const double late_s =
+      late_commands_.least_s + (late_commands_.most_s - late_commands_.least_s) * chance();
+  schedule(now_ + static_cast<Ms>(late_s * 1000),
+           [this, &w, r] { serve_worker(w, r, [](HttpReply) {}); });
+}
+
 // Invariant 6: a report is answered with 200 only by an owner whose lease is alive, or who has the
 // promises of all peers.
 void World::check_entitled(const Node& node, const std::string& report) {
@@ -606,10 +620,13 @@
 
 // ------------------------------------------------------------------------------ workers
 
+// From the moment at which it has its image until it ends, also while it saves.
+bool World::on_machine(const Task& t) { return t.phase == "running" || t.phase == "flushing"; }
+
 void World::lose(Worker& w, const char* why) {
   note(w.id + " is " + why);
   for (auto& [key, t] : w.tasks)
-    if (t.phase == "running") checker_.task_off(w.id, key.first, key.second);
+    if (on_machine(t)) checker_.task_off(w.id, key.first, key.second);
   w.tasks.clear();
   w.gone = true;
   w.up = false;
@@ -668,16 +685,29 @@
 void World::set_sick(const std::string& id, bool on) { workers_.at(id)->sick = on; }
 
 void World::end_task(Worker& w, const TaskKey& key, Task& t, const std::string& exit_reason) {
-  if (t.phase == "running") checker_.task_off(w.id, key.first, key.second);
+  if (on_machine(t)) checker_.task_off(w.id, key.first, key.second);
   t.phase = "exited";
   t.exit_reason = exit_reason;
   w.changed = true;
 }
 
+// A running task with checkpoints saves first if it is given the time, unless told again without
+// any.
+void World::kill_task(Worker& w, const TaskKey& key, Task& t, double grace_s) {
+  const JobSpec& s = specs_[key.first];
+  if (t.phase == "exited") return;
+  const bool enough = s.checkpoint_s > 0 && grace_s > 0 && grace_s >= s.save_s;
+  if (enough && t.phase == "flushing") return;
+  if (!enough || t.phase != "running") return end_task(w, key, t, "stopped");
+  t.phase = "flushing";
+  t.left_s = s.save_s;
+  w.changed = true;
+}
+
 void World::end_lease(Worker& w) {
   if (!w.tasks.empty()) note(w.id + " lease over");
   for (auto& [key, t] : w.tasks)
-    if (t.phase == "running") checker_.task_off(w.id, key.first, key.second);
+    if (on_machine(t)) checker_.task_off(w.id, key.first, key.second);
   w.tasks.clear();
   ++w.tenure;
   w.lease_from = now_;
@@ -755,6 +785,8 @@
         note(w.id + " runs " + key.first + "/" + std::to_string(key.second));
         checker_.task_on(now(), {w.id, "box", w.zone, w.spot}, key.first, key.second);
         w.changed = true;
+      } else if (t.phase == "flushing") {
+        end_task(w, key, t, "stopped");
       } else {
         const bool bad = w.sick || failing_jobs_.count(key.first) > 0;
         if (!bad) checker_.task_done(key.first, key.second);
@@ -875,7 +907,7 @@
     } else if (it == w.tasks.end() || it->second.attempt != attempt) {
       continue;
     } else if (verb == "kill") {
-      if (it->second.phase != "exited") end_task(w, key, it->second, "stopped");
+      kill_task(w, key, it->second, o["mercy_s"].GetDouble());
     } else if (it->second.phase == "exited") {
       w.tasks.erase(it);
       w.changed = true;
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -84,6 +84,8 @@
     double share = 0, least_s = 2, most_s = 12;
   };
   void late_writes(LateWrites w) { late_ = w; }
+  // That share of the direct commands is carried out so much later, unanswered.
+  void late_commands(LateWrites w) { late_commands_ = w; }
   void state_slow(double most_s) { state_slow_ms_ = static_cast<Ms>(most_s * 1000); }
   void cloud_outage(bool on) { cloud_down_ = on; }
   void kill_machine(const std::string& id);  // stops, with all that is on it
@@ -125,6 +127,8 @@
   std::size_t landed_late() const { return landed_late_; }
   // Transactions that got no answer, whether they landed or met newer ones.
   std::size_t without_answer() const { return without_answer_; }
+  // Direct commands that were held up.
+  std::size_t commands_late() const { return commands_late_; }
   // Longest wait of a user for an acceptance, seconds.
   double slowest_acceptance() const { return slowest_acceptance_; }
   const std::set<std::string>& charters() const { return charters_; }
@@ -210,6 +214,9 @@
   void take_answer(Worker& w, Ms sent, std::uint64_t tenure, const HttpReply& r, int node);
   void obey(Worker& w, const std::string& body);
   void raise_token(Worker& w, std::uint64_t token);
+  void hold_command(Worker& w, const HttpRequest& r);
+  static bool on_machine(const Task& t);
+  void kill_task(Worker& w, const TaskKey& key, Task& t, double grace_s);
   void end_task(Worker& w, const TaskKey& key, Task& t, const std::string& exit_reason);
   void end_lease(Worker& w);
   void lose(Worker& w, const char* why);
@@ -249,9 +256,9 @@
   bool state_down_ = false;
   std::set<std::string> refused_;
   std::set<std::string> deaf_, mute_;
-  LateWrites late_;
+  LateWrites late_, late_commands_;
   Ms state_slow_ms_ = 0;
-  std::size_t landed_late_ = 0, without_answer_ = 0;
+  std::size_t landed_late_ = 0, without_answer_ = 0, commands_late_ = 0;
   std::map<int, std::size_t> reports_taken_;
   std::map<std::string, Confirmed> confirmed_;
   bool copies_ = false;
