Reports have a file of their own, in short functions; the stop of a task is one value

A task told to stop has the time it was given to save in place of a flag and a number. Quarantine, inbound loss, lost answers and lost workers take the place of shun, deaf, unheard.

--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -149,9 +149,9 @@
   reply(200, codec::report_answer(o.core->term_of(machine), commands));
 }
 
-// Work has come or room has freed: the parked machines are looked at, one by one. Invariant 6, guard:
-// whoever has stood still finds changes of the state service before its own pace, and the lease may
-// be over by then.
+// Work has come or room has freed: the parked machines are looked at, one by one. Invariant 6,
+// guard: whoever has stood still finds changes of the state service before its own pace, and the
+// lease may be over by then.
 void Owner::pump(Owned& o) {
   if (!acting(o.core->index())) return;
   const Ms now = rt_.now();
@@ -172,7 +172,8 @@
   }
 }
 
-// Invariant 6: without a lease they are kept until the owner is sure of it again, or drops the part.
+// Invariant 6: without a lease they are kept until the owner is sure of it again, or drops the
+// part.
 void Owner::send_kills(Owned& o) {
   if (!acting(o.core->index())) return;
   for (auto& kill : o.core->take_kills()) {
@@ -468,7 +469,7 @@
   listen();
   claim_vacant();
   hand_back();
-  leave_unheard();
+  hand_over_if_workers_lost();
   ask_pledges();
   release_held_reports();
   const Ms now = rt_.now();
--- a/src/actors/owner.h
+++ b/src/actors/owner.h
@@ -108,8 +108,8 @@
   bool settled() const;
   void listen();
   bool hears() const;
-  bool unheard(const std::string& node) const;
-  void leave_unheard();
+  bool has_lost_workers(const std::string& node) const;
+  void hand_over_if_workers_lost();
   void give_up(int part, std::uint64_t stamp);
   void drop(int part, const char* reason);
   void answer(Owned& o, const std::string& machine, std::vector<Command> commands, Reply reply);
--- a/src/actors/owner_parts.cc
+++ b/src/actors/owner_parts.cc
@@ -106,8 +106,9 @@
     const std::string home = s_.home_of(part);
     Ms wait = 0;
     if (home != s_.node)
-      wait = v.nodes.count(home) && !unheard(home) ? k::kClaimHomeAliveMs : k::kClaimOtherMs;
-    if (!hears()) wait += k::kClaimUnheardMs;
+      wait =
+          v.nodes.count(home) && !has_lost_workers(home) ? k::kClaimHomeAliveMs : k::kClaimOtherMs;
+    if (!hears()) wait += k::kClaimWorkersLostMs;
     if (now - since >= wait) claim(part);
   }
 }
@@ -236,7 +237,7 @@
     if (home == s_.node || !o.active || !settled()) continue;
     auto node = v.nodes.find(home);
     if (node == v.nodes.end() || now - node->second.seen < k::kHandBackAfterMs ||
-        !peer_alive(home) || unheard(home))
+        !peer_alive(home) || has_lost_workers(home))
       continue;
     hand_over(part, "handed-back");
     return;  // the map has changed; one a tick is enough
@@ -267,7 +268,7 @@
 }
 
 // Whether a peer says that it hears no worker.
-bool Owner::unheard(const std::string& node) const {
+bool Owner::has_lost_workers(const std::string& node) const {
   auto it = peers_.find(node);
   return it != peers_.end() && !it->second.status.hears && peer_alive(node);
 }
@@ -275,10 +276,11 @@
 // Guard: a controller that has lost its workers alone keeps its grant, and would keep its parts;
 // their leases would end, all of them together. It gives the parts to a peer that hears workers,
 // in time for them to find it.
-void Owner::leave_unheard() {
+void Owner::hand_over_if_workers_lost() {
   if (hears() || !settled()) return;
   const bool heard = std::any_of(s_.peers.begin(), s_.peers.end(), [&](const Peer& p) {
-    return peer_alive(p.name) && !unheard(p.name) && state_store_.view().nodes.count(p.name);
+    return peer_alive(p.name) && !has_lost_workers(p.name) &&
+           state_store_.view().nodes.count(p.name);
   });
   if (!heard) return;
   for (const auto& [part, o] : owned_)
--- a/src/constants.h
+++ b/src/constants.h
@@ -23,9 +23,9 @@
 constexpr Ms kClaimOtherMs = 300;       // ms; pause before claiming a part whose home node is gone
 constexpr Ms kSilenceMs = 1000;         // ms; beyond the time in which every machine reports
 constexpr Ms kProbeEveryMs = 500;       // ms; a node that hears nothing asks a worker this often
-constexpr Ms kClaimUnheardMs = 3000;    // ms; more, for a node that hears no worker
-constexpr Ms kHandBackAfterMs = 4000;   // ms; a home node must have been up so long
-constexpr Ms kBalanceEveryMs = 1000;    // ms; pace of the leader's advice on machines
+constexpr Ms kClaimWorkersLostMs = 3000;  // ms; more, for a node that hears no worker
+constexpr Ms kHandBackAfterMs = 4000;     // ms; a home node must have been up so long
+constexpr Ms kBalanceEveryMs = 1000;      // ms; pace of the leader's advice on machines
 
 constexpr Ms kShedMs = 3000;         // ms; advice to let machines run empty, renewed while it holds
 constexpr Ms kPledgeMs = 3000;       // ms; a peer's promise not to claim; a fresh process waits
@@ -42,15 +42,16 @@
 constexpr Ms kWorkerPatienceMs = 4000;  // ms; a worker drops an answer that takes longer; protocol
 constexpr Ms kHoldReportMs = 2000;      // ms; a report waits so long for a new owner: a takeover is
                                         // over by then, and the worker still waits
-constexpr int kDeafAnswers = 3;  // answers in a row without a trace; one or two are lost by chance
-constexpr int kRaises = 2;       // answers that tell a machine a term which it then does not show
+constexpr int kInboundLossAnswers =
+    3;                           // answers in a row without a trace; one or two are lost by chance
+constexpr int kTermAnswers = 2;  // answers that tell a machine a term which it then does not show
 constexpr Ms kStarvingMs = 120000;  // ms; half of the four minutes in which every job should begin
 constexpr Ms kBegunMs = 35000;      // ms; a start stopped within 30 s of its running does not count
-constexpr int kSickErrors = 3;      // failures without a success before a machine is shunned
-constexpr Ms kShunMs = 20000;       // ms; first pause of a shunned machine, doubles
-constexpr Ms kShunMaxMs = 60000;    // ms; longest pause of a shunned machine, under the 90 s that a
-                                    // job may wait beside room
-constexpr Ms kJobBackoffMs = 1000;  // ms; first pause of a job that failed on several machines
+constexpr int kUnhealthyErrors = 3;  // failures without a success before a machine is quarantined
+constexpr Ms kQuarantineMs = 20000;  // ms; the first quarantine of a machine, the next is doubled
+constexpr Ms kQuarantineMaxMs = 60000;  // ms; the longest, under the 90 s that a job may wait
+                                        // beside room
+constexpr Ms kJobBackoffMs = 1000;      // ms; first pause of a job that failed on several machines
 constexpr Ms kJobBackoffMaxMs = 30000;  // ms; longest such pause
 constexpr int kJobBadMachines = 3;      // a job that failed on so many machines is itself suspect
 constexpr Ms kImageWaitMs = 900;        // ms; a service waits so long for a machine with its image
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -211,8 +211,7 @@
 void Part::kill_tasks(const std::string& id) {
   for (auto& [mid, m] : machines_)
     for (auto t = m->tasks.lower_bound({id, 0}); t != m->tasks.end() && t->first.first == id; ++t) {
-      t->second.killing = true;
-      t->second.grace_s = 0;
+      t->second.stop_grace_s = 0;
       kills_[mid].push_back({Verb::kill, id, t->first.second, t->second.attempt, 0});
     }
 }
@@ -231,8 +230,10 @@
   if (!j->cancelling) kill_tasks(id);
   // An orphan keeps its room and its team's share until it is seen to be gone.
   for (auto& [mid, m] : machines_)
-    for (auto t = m->tasks.lower_bound({id, 0}); t != m->tasks.end() && t->first.first == id; ++t)
+    for (auto t = m->tasks.lower_bound({id, 0}); t != m->tasks.end() && t->first.first == id; ++t) {
       t->second.job = nullptr;
+      t->second.stop_grace_s = 0;
+    }
   order_.erase(std::find(order_.begin(), order_.end(), j));
   waiting_known_ = false;
   jobs_.erase(it);
@@ -286,17 +287,16 @@
 
 void Part::bind(Machine& m, Job& j, std::uint32_t i, std::uint64_t attempt, TaskPhase p) {
   const bool service = j.spec.kind == Kind::service;
-  Bound b{&j,
-          attempt,
-          p,
-          false,
-          j.spec.cpus,
-          j.spec.gpus,
-          j.spec.memory_gb,
-          j.team,
-          service,
-          false,
-          now_ + static_cast<Ms>(j.spec.estimate_s * 1000)};
+  Bound b;
+  b.job = &j;
+  b.attempt = attempt;
+  b.phase = p;
+  b.cpus = j.spec.cpus;
+  b.gpus = j.spec.gpus;
+  b.memory_gb = j.spec.memory_gb;
+  b.team = j.team;
+  b.service = service;
+  b.ends = now_ + static_cast<Ms>(j.spec.estimate_s * 1000);
   m.tasks[{j.spec.id, i}] = b;
   totals_.free[m.spot][fill(m)] -= b.cpus;
   if (!m.spare) totals_.kept -= b.cpus;
@@ -365,180 +365,6 @@
   ++j.unrecorded;
 }
 
-// A machine that fails everything is told apart from a job that fails everywhere: a job that
-// failed on several machines no longer counts against machines, and pauses itself instead.
-void Part::note_error(Machine& m, Job& j, Ms now) {
-  // Guard: not for ever; the machine may be well again, and the only one with room.
-  j.bad_machines[m.id] = now + constants::kShunMaxMs;
-  if (static_cast<int>(j.bad_machines.size()) >= constants::kJobBadMachines && j.done == 0) {
-    j.backoff =
-        j.backoff ? std::min(j.backoff * 2, constants::kJobBackoffMaxMs) : constants::kJobBackoffMs;
-    j.not_before = now + j.backoff;
-    return;
-  }
-  if (++m.errors >= constants::kSickErrors) {
-    m.errors = constants::kSickErrors - 1;  // after the pause a single failure shuns it again
-    shun(m, now);
-  }
-}
-
-void Part::shun(Machine& m, Ms now) {
-  m.shun_ms = m.shun_ms ? std::min(m.shun_ms * 2, constants::kShunMaxMs) : constants::kShunMs;
-  m.shun_until = now + m.shun_ms;
-}
-
-// A machine whose reports arrive but which our answers do not reach. Guard: each 200 counts as an
-// answer that it may have had, so its lease would never seem over, and it would be given tasks
-// again and again. One lost answer proves nothing: it then gets one task at a time until one shows.
-void Part::unheard(Machine& m, Ms now) {
-  if (++m.unheard >= constants::kDeafAnswers) shun(m, now);
-}
-
-bool Part::deaf(const Machine& m) { return m.unheard >= constants::kDeafAnswers; }
-
-// Kills for the tasks in a report whose job is over or called off. They hold whatever the age of
-// the report: such a job is never started again, and a kill names one attempt.
-std::vector<Command> Part::kills_owed(const Report& r) const {
-  std::vector<Command> kills;
-  for (const TaskReport& task : r.tasks) {
-    if (task.phase == TaskPhase::exited) continue;
-    const auto job = jobs_.find(task.job);
-    if (job == jobs_.end() || job->second->cancelling)
-      kills.push_back({Verb::kill, task.job, task.index, task.attempt, 0});
-  }
-  return kills;
-}
-
-Answer Part::on_report(const Report& r, Ms now) {
-  Answer a;
-  now_ = now;
-  auto it = machines_.find(r.machine);
-  if (it == machines_.end()) return {Verdict::stale, term_, {}};
-  Machine& m = *it->second;
-  a.term = term_of(r.machine);
-  // A worker that has seen a higher term has another owner: our view is behind.
-  if (r.term > a.term) return {Verdict::stale, a.term, {}};
-  // Late and repeated messages: only the newest (tenure, tick) counts.
-  if (m.reported && std::pair(r.tenure, r.tick) <= std::pair(m.tenure, m.tick))
-    return {Verdict::stale, a.term, {}};
-  // After its lease ended by our clock, a machine must show a new tenure.
-  if (m.gone && m.reported && r.tenure == m.tenure) return {Verdict::stale, a.term, {}};
-
-  if (m.reported && r.tenure > m.tenure) {
-    drop_all(m);  // a new tenure: the worker has killed all it had
-    m.images.clear();
-    // Its lease ended although we answered: it did not hear. Then this tenure starts on trial.
-    if (!m.gone && now - m.last_answer < limits_.lease_ms) unheard(m, now);
-    if (m.gone && deaf(m)) m.unheard = constants::kDeafAnswers - 1;
-    m.raises = 0;
-  }
-  // Invariant 5: a deaf machine gets no 200 any more until its lease is surely over (see `tick`).
-  if (deaf(m) && !m.gone) return {Verdict::stale, a.term, {}};
-  m.reported = true;
-  m.gone = false;
-  m.tenure = r.tenure;
-  m.tick = r.tick;
-  m.last_report = now;
-  m.addr = r.addr;
-  m.zone = r.zone;
-  m.spot = r.spot;
-  m.type_name = r.type;
-  if (auto t = types_.find(r.type); t != types_.end()) m.type = &t->second;
-  if (r.notice_s)
-    m.taken_at = now + static_cast<Ms>(*r.notice_s * 1000);
-  else
-    m.taken_at.reset();
-
-  // Invariant 5: only a report sent under our term proves anything. A report from before may
-  // be minutes late, and another owner may have started tasks since. The answer raises the term.
-  if (r.term < a.term) {
-    if (m.raises++ == 0) m.raised_at = now;
-    // It was told our term, twice, and does not show it.
-    if (m.raises > constants::kRaises && now - m.raised_at > constants::kWorkerPatienceMs)
-      return {Verdict::stale, a.term, {}};
-    // Invariant 7. Guard: this answer renews the lease like any other. Without kills in it, tasks
-    // of a job whose user had been told that it is cancelled outlived `cancel_s`: machines that
-    // hung at the cancellation were told the term of a new owner, and could not be reached after
-    // that.
-    a.commands = kills_owed(r);
-    return a;
-  }
-  m.raises = 0;
-  set_proven(m);
-
-  bool heard = false, lost = false;
-  std::set<TaskKey> seen;
-  for (const auto& t : r.tasks) {
-    TaskKey key{t.job, t.index};
-    auto jt = jobs_.find(t.job);
-    Job* j = jt == jobs_.end() || t.index >= jt->second->spec.tasks ? nullptr : jt->second.get();
-    auto bt = m.tasks.find(key);
-    if (bt != m.tasks.end() && bt->second.attempt == t.attempt && !bt->second.seen)
-      heard = bt->second.seen = true;
-    if (t.phase == TaskPhase::exited) {
-      if (t.exit_reason == ExitReason::done && j) {
-        if (bt != m.tasks.end() && bt->second.attempt == t.attempt) release(m, key, false);
-        set_done(*j, t.index);
-        m.errors = 0;
-        m.shun_ms = 0;
-        // Invariant 7: cleared only after its durable record.
-        if (j->state[t.index] == State::recorded)
-          a.commands.push_back({Verb::clear, t.job, t.index, t.attempt, 0});
-        continue;
-      }
-      if (bt != m.tasks.end() && bt->second.attempt == t.attempt) {
-        if (t.exit_reason == ExitReason::error && bt->second.job)
-          note_error(m, *bt->second.job, now);
-        if (t.exit_reason == ExitReason::no_such && bt->second.job)
-          bt->second.job->not_before = now + constants::kJobBackoffMs;
-        release(m, key, true);
-      }
-      a.commands.push_back({Verb::clear, t.job, t.index, t.attempt, 0});
-      continue;
-    }
-    seen.insert(key);
-    if (bt != m.tasks.end() && bt->second.attempt == t.attempt) {
-      Bound& b = bt->second;
-      if (b.job) {
-        if (b.phase != TaskPhase::running && t.phase == TaskPhase::running) ++b.job->running;
-        if (b.phase == TaskPhase::running && t.phase != TaskPhase::running) --b.job->running;
-      }
-      b.phase = t.phase;
-    } else if (bt == m.tasks.end() && j && j->state[t.index] == State::queued) {
-      bind(m, *j, t.index, t.attempt, t.phase);  // found after a takeover
-      m.tasks[key].seen = true;
-      m.tasks[key].killing = j->cancelling;
-    } else if (bt == m.tasks.end()) {
-      // Not ours to run: its job is over, or the task is done. It holds room until it is gone.
-      Bound b{nullptr, t.attempt, t.phase, true, 0, 0, 0, -1, false, true, now};
-      if (!j) count_unknown(m, 1);
-      if (j) b.cpus = j->spec.cpus, b.gpus = j->spec.gpus, b.memory_gb = j->spec.memory_gb;
-      if (j) b.team = j->team, team_cpus_[b.team] += b.cpus, team_gpus_[b.team] += b.gpus;
-      m.cpus += b.cpus, m.gpus += b.gpus, m.memory_gb += b.memory_gb;
-      m.tasks[key] = b;
-    } else {
-      bt->second.attempt = t.attempt;
-    }
-    if (m.tasks[key].killing || m.tasks[key].job == nullptr)
-      a.commands.push_back({Verb::kill, t.job, t.index, t.attempt, m.tasks[key].grace_s});
-  }
-  // Invariant 4: a launch is open until this report; what it lacks was never started or is gone.
-  std::vector<TaskKey> lacking;
-  for (const auto& [key, b] : m.tasks)
-    if (!seen.count(key)) {
-      lacking.push_back(key);
-      lost |= !b.seen;
-    }
-  for (const auto& key : lacking) release(m, key, true);
-  if (heard)
-    m.unheard = 0;
-  else if (lost)
-    unheard(m, now);
-  if (deaf(m)) return {Verdict::stale, a.term, {}};
-  if (!m.tasks.empty() || m.idle_since == 0) m.idle_since = now;
-  return a;
-}
-
 void Part::answered(const std::string& machine, Ms now) {
   if (auto it = machines_.find(machine); it != machines_.end()) it->second->last_answer = now;
 }
@@ -554,7 +380,7 @@
     drop_all(*m);
     set_proven(*m);
     m->gone = true;
-    m->raises = 0;
+    m->term_answers = 0;
     lost.push_back(id);
   }
   survey(now);
@@ -578,7 +404,7 @@
   auto it = machines_.find(id);
   if (it == machines_.end()) return;
   for (const auto& [key, b] : it->second->tasks)
-    if (b.killing && b.grace_s == 0)
+    if (b.stop_grace_s == 0.0)
       kills_[id].push_back({Verb::kill, key.first, key.second, b.attempt, 0});
 }
 
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -150,14 +150,14 @@
     Job* job = nullptr;  // null: an orphan, to be killed
     std::uint64_t attempt = 0;
     TaskPhase phase = TaskPhase::pulling;
-    bool killing = false;
     double cpus = 0, gpus = 0, memory_gb = 0;  // kept by an orphan until it is gone
     int team = -1;
     bool service = false;
-    bool seen = false;   // a report has shown it
-    Ms ends = 0;         // by its owner's estimate
-    double grace_s = 0;  // told with the kill
-    Ms kept_until = 0;   // the first task of a job that starved is not stopped before
+    bool seen = false;  // a report has shown it
+    Ms ends = 0;        // by its owner's estimate
+    // Set once it has been told to stop: the time that it was given to save.
+    std::optional<double> stop_grace_s;
+    Ms kept_until = 0;  // the first task of a job that starved is not stopped before
   };
   using TaskKey = std::pair<std::string, std::uint32_t>;
   struct Machine {
@@ -183,11 +183,11 @@
     int unknown = 0;                           // tasks here of jobs that we do not know
     std::set<int> images;  // those that a task here has had, or has been sent for
     int errors = 0;
-    Ms shun_until = 0, shun_ms = 0;
+    Ms quarantine_until = 0, quarantine_ms = 0;
     // Signs that answers do not reach it: those in a row that left no trace, and those that told it
     // a term which its reports do not show.
-    int unheard = 0, raises = 0;
-    Ms raised_at = 0;
+    int lost_answers = 0, term_answers = 0;
+    Ms term_answered_at = 0;  // the first of the latter
   };
   struct Job {
     JobSpec spec;
@@ -233,16 +233,32 @@
   };
 
   void kill_tasks(const std::string& id);
-  std::vector<Command> kills_owed(const Report& r) const;
+  std::vector<Command> owed_kills(const Report& r) const;
   void release(Machine& m, TaskKey key, bool again);
   void bind(Machine& m, Job& j, std::uint32_t i, std::uint64_t attempt, TaskPhase p);
   void requeue(Job& j, std::uint32_t i);
   void set_done(Job& j, std::uint32_t i);
   void drop_all(Machine& m);
   void note_error(Machine& m, Job& j, Ms now);
-  void shun(Machine& m, Ms now);
-  void unheard(Machine& m, Ms now);
-  static bool deaf(const Machine& m);
+  void quarantine(Machine& m, Ms now);
+  void note_lost_answer(Machine& m, Ms now);
+  static bool has_inbound_loss(const Machine& m);
+  // What a report shows of the tasks on its machine.
+  struct ReportedTasks {
+    std::set<TaskKey> on_machine;
+    bool start_shown = false;  // one that no report had shown before
+  };
+  bool is_outdated(const Machine& m, const Report& r) const;
+  void begin_session(Machine& m, Ms now);
+  void take_machine_state(Machine& m, const Report& r, Ms now);
+  Answer tell_term(Machine& m, const Report& r, Ms now);
+  void take_task(Machine& m, const TaskReport& task, Ms now, ReportedTasks& reported,
+                 std::vector<Command>& out);
+  void take_exit(Machine& m, const TaskReport& task, Ms now, std::vector<Command>& out);
+  void take_live(Machine& m, const TaskReport& task, Ms now);
+  void hold_room(Machine& m, const TaskReport& task, const Job* job, Ms now);
+  bool release_missing(Machine& m, const std::set<TaskKey>& on_machine);
+  Job* find_job(const TaskReport& task) const;
   bool may_start(const Machine& m, const Job& j, const Proof& proof, Ms now) const;
   static Fill fill(const Machine& m);
   static double reserve(const Machine& m);
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -45,7 +45,7 @@
 
 bool Part::usable(const Machine& m, Ms now) const {
   return m.proven && m.reported && !m.gone && !m.leaving && m.type && !m.taken_at &&
-         m.shun_until <= now && m.unknown == 0;
+         m.quarantine_until <= now && m.unknown == 0;
 }
 
 bool Part::takes_work(const Machine& m, Ms now) const {
@@ -225,7 +225,7 @@
 void Part::drain(Machine& m, const Proof& proof, Ms now, std::vector<Command>& out) {
   if (m.drain_until <= now || !usable(m, now)) return;
   for (const auto& [key, b] : m.tasks)
-    if (b.killing) return;
+    if (b.stop_grace_s) return;
   for (auto& [key, b] : m.tasks) {
     if (!b.service || !b.job || b.job->held || !room_beside(m, *b.job, proof, now)) continue;
     stop(key, b, out);
@@ -237,9 +237,8 @@
 bool Part::stop(const TaskKey& key, Bound& task, std::vector<Command>& out) {
   const JobSpec& spec = task.job->spec;
   const bool saves = spec.checkpoint_s > 0 && task.phase == TaskPhase::running;
-  task.killing = true;
-  task.grace_s = saves ? spec.save_s : 0;
-  out.push_back({Verb::kill, key.first, key.second, task.attempt, task.grace_s});
+  task.stop_grace_s = saves ? spec.save_s : 0;
+  out.push_back({Verb::kill, key.first, key.second, task.attempt, *task.stop_grace_s});
   return !saves;
 }
 
@@ -283,7 +282,7 @@
 }
 
 bool Part::may_stop(const Bound& victim, const Job& j, bool by_guarantee) const {
-  if (!victim.job || victim.killing || victim.phase == TaskPhase::flushing ||
+  if (!victim.job || victim.stop_grace_s || victim.phase == TaskPhase::flushing ||
       now_ < victim.kept_until)
     return false;
   const JobSpec& v = victim.job->spec;
@@ -302,7 +301,7 @@
   // What is told to stop without saving goes before the starts of the same answer.
   double cpus = m.type->cpus, gpus = m.type->gpus, memory = m.type->memory_gb;
   for (const auto& [key, b] : m.tasks) {
-    if (b.killing && b.grace_s == 0) continue;
+    if (b.stop_grace_s == 0.0) continue;
     cpus -= b.cpus;
     gpus -= b.gpus;
     memory -= b.memory_gb;
@@ -377,8 +376,8 @@
       m.spare = false;
       const bool starved = j->starving;
       start_one(m, *j, out);
-      // One task on trial, also on one that has failed all since it was shunned.
-      if (m.unheard > 0 || m.shun_ms > 0) return;
+      // One task on trial, also on one that has failed all since it was quarantined.
+      if (m.lost_answers > 0 || m.quarantine_ms > 0) return;
       if (starved) break;
     }
   }
@@ -460,9 +459,9 @@
   if (m.cpus + least_cpus_ <= m.type->cpus + kEps) {
     const auto order = order_for(m);
     for (bool within : {true, false})
-      if (out.empty() || m.unheard == 0) launch(m, order, within, known, now, out);
+      if (out.empty() || m.lost_answers == 0) launch(m, order, within, known, now, out);
   }
-  if (m.unheard == 0) make_room(m, known, now, out);
+  if (m.lost_answers == 0) make_room(m, known, now, out);
   if (!m.tasks.empty()) m.idle_since = now;
   return out;
 }
--- a/tests/part_test.cc
+++ b/tests/part_test.cc
@@ -411,7 +411,7 @@
   part.open_job(job("run-2", 4), 12, false, {});
   EXPECT_EQ(part.on_report(report("m-1", {}, 0, 2), 14000).verdict, Verdict::ok);
   EXPECT_TRUE(part.place("m-1", 14000).empty());
-  const Ms later = 4000 + constants::kShunMs;
+  const Ms later = 4000 + constants::kQuarantineMs;
   EXPECT_EQ(part.on_report(report("m-1", {}, 0, 2), later).verdict, Verdict::ok);
   EXPECT_EQ(part.place("m-1", later).size(), 1u);
 }
