--- /dev/null
+++ b/tests/standin/state_service.cc
@@ -0,0 +1,247 @@
+#include "standin/state_service.h"
+
+#include <rapidjson/document.h>
+
+#include "standin/text.h"
+
+namespace eiderreel::standin {
+
+using rapidjson::Document;
+
+namespace {
+
+constexpr Ms kOutageRetry = 500;  // ms; what is on its way in an outage is tried again this often
+
+std::string lease_text(std::uint64_t id) { return "{\"tether\":" + std::to_string(id) + "}"; }
+
+std::string revision_text(std::uint64_t revision) {
+  return "\"ledger\":" + std::to_string(revision);
+}
+
+}  // namespace
+
+void StateService::serve(const std::string& from, const HttpRequest& request, Done answer) {
+  const std::string& path = request.path;
+  Done done = answer;
+  if (slowest_ > 0 && !has_prefix(path, "/follow"))
+    done = [this, answer](HttpReply reply) {
+      const double wait = environment_.chance() * static_cast<double>(slowest_);
+      environment_.at(environment_.now() + static_cast<Ms>(wait),
+                      [answer, reply] { answer(reply); });
+    };
+  if (outage_ || refused_.count(from) > 0) return done({503, error_text("outage")});
+  if (path == "/commit") return serve_commit(request.body, done);
+  if (path == "/grants") return serve_new_lease(request.body, done);
+  if (has_prefix(path, "/grants/")) return serve_lease(request, done);
+  if (has_prefix(path, "/follow")) return serve_watch(path, done);
+  if (has_prefix(path, "/kv?")) return serve_list(path, done);
+  serve_read(path.substr(4), done);
+}
+
+const std::string* StateService::value(const std::string& key) const {
+  const auto row = rows_.find(key);
+  return row == rows_.end() ? nullptr : &row->second.value;
+}
+
+void StateService::set_outage(bool on) {
+  outage_ = on;
+  if (on) return;
+  for (auto& [id, lease] : leases_)
+    lease.ends = environment_.now() + lease.life;  // every lease has its full time again
+}
+
+void StateService::set_refused(const std::string& node, bool on) {
+  if (on)
+    refused_.insert(node);
+  else
+    refused_.erase(node);
+}
+
+// ------------------------------------------------------------------------------- leases
+
+void StateService::end_leases() {
+  if (outage_) return;
+  for (auto it = leases_.begin(); it != leases_.end();) {
+    if (it->second.ends > environment_.now()) {
+      ++it;
+      continue;
+    }
+    const std::uint64_t id = it->first;
+    it = leases_.erase(it);
+    ++revision_;
+    std::vector<std::string> keys;
+    for (const auto& [key, row] : rows_)
+      if (row.lease == id) keys.push_back(key);
+    for (const auto& key : keys) change(key, nullptr, 0);
+  }
+  wake_watches();
+}
+
+void StateService::serve_new_lease(const std::string& body, const Done& done) {
+  Document d;
+  d.Parse(body.c_str());
+  const Ms life = d["life_ms"].GetInt64();
+  leases_[++next_lease_] = {life, environment_.now() + life};
+  done({200, lease_text(next_lease_)});
+}
+
+void StateService::serve_lease(const HttpRequest& request, const Done& done) {
+  const std::uint64_t id = std::stoull(request.path.substr(8));
+  auto lease = leases_.find(id);
+  if (lease == leases_.end()) return done({404, "{}"});
+  const bool ends = request.method == "DELETE";
+  lease->second.ends = environment_.now() + (ends ? 0 : lease->second.life);
+  if (ends) end_leases();
+  done({200, lease_text(id)});
+}
+
+// ------------------------------------------------------------------------- transactions
+
+void StateService::change(const std::string& key, const std::string* value, std::uint64_t lease) {
+  if (value)
+    rows_[key] = {*value, revision_, lease};
+  else
+    rows_.erase(key);
+  changes_.push_back({revision_, key, value ? *value : "", value == nullptr});
+}
+
+HttpReply StateService::commit(const std::string& body) {
+  Document d;
+  d.Parse(body.c_str());
+  std::string failed;
+  for (const auto& guard : d["guards"].GetArray()) {
+    const auto row = rows_.find(guard["key"].GetString());
+    const std::uint64_t revision = row == rows_.end() ? 0 : row->second.revision;
+    if (revision == guard["stamp"].GetUint64()) continue;
+    failed += (failed.empty() ? "\"" : ",\"") + std::string(guard["key"].GetString()) + "\"";
+  }
+  for (const auto& write : d["writes"].GetArray())
+    if (write.HasMember("tether") && !leases_.count(write["tether"].GetUint64()))
+      return {400, error_text("no such lease")};
+  if (!failed.empty())
+    return {409, "{\"failed\":[" + failed + "]," + revision_text(revision_) + "}"};
+  ++revision_;
+  for (const auto& write : d["writes"].GetArray()) {
+    if (write.HasMember("delete")) {
+      const std::string key = write["delete"].GetString();
+      if (rows_.count(key)) change(key, nullptr, 0);
+    } else {
+      const std::string value = json_text(write["v"]);
+      change(write["write"].GetString(), &value,
+             write.HasMember("tether") ? write["tether"].GetUint64() : 0);
+    }
+  }
+  HttpReply reply{200, "{" + revision_text(revision_) + "}"};
+  wake_watches();
+  return reply;
+}
+
+// An outage does not end what is on its way: it lands once the state service is back.
+void StateService::commit_later(Ms t, const std::string& body) {
+  environment_.at(t, [this, body] {
+    if (outage_) return commit_later(environment_.now() + kOutageRetry, body);
+    counters_.landed_late += commit(body).status == 200;
+  });
+}
+
+bool StateService::take_write_tokens(double writes) {
+  const Ms now = environment_.now();
+  const double refill = static_cast<double>(now - refilled_) / 1000 * limits_.write_rps;
+  write_tokens_ = std::min(limits_.write_rps, write_tokens_ + refill);
+  refilled_ = now;
+  if (limits_.enforced && write_tokens_ < writes) return false;
+  write_tokens_ -= writes;
+  return true;
+}
+
+void StateService::serve_commit(const std::string& body, const Done& done) {
+  Document d;
+  d.Parse(body.c_str());
+  if (!take_write_tokens(d["writes"].GetArray().Size())) {
+    ++counters_.over_limit;
+    return done({429, "{}"});
+  }
+  ++counters_.commits;
+  if (late_writes_.share > 0 && environment_.chance() < late_writes_.share) {
+    ++counters_.without_answer;
+    const double late_s =
+        late_writes_.least_s + (late_writes_.most_s - late_writes_.least_s) * environment_.chance();
+    return commit_later(environment_.now() + static_cast<Ms>(late_s * 1000), body);
+  }
+  done(commit(body));
+}
+
+// -------------------------------------------------------------------- watches and reads
+
+HttpReply StateService::changes_since(const std::string& prefix, std::uint64_t since) const {
+  std::string events;
+  for (const Change& c : changes_) {
+    if (c.revision <= since || !has_prefix(c.key, prefix)) continue;
+    if (!events.empty()) events += ",";
+    const std::string stamp = ",\"stamp\":" + std::to_string(c.revision) + "}";
+    events += c.deleted ? "{\"delete\":\"" + c.key + "\"" + stamp
+                        : "{\"write\":\"" + c.key + "\",\"v\":" + c.value + stamp;
+  }
+  if (events.empty()) return {};
+  return {200, "{" + revision_text(revision_) + ",\"events\":[" + events + "]}"};
+}
+
+void StateService::wake_watches() {
+  if (outage_) return;
+  std::erase_if(watches_, [](const auto& watch) { return watch->answered; });
+  for (auto& watch : std::vector(watches_)) {
+    HttpReply reply = changes_since(watch->prefix, watch->since);
+    if (reply.status == 0) continue;
+    watch->answered = true;
+    watch->reply(reply);
+  }
+}
+
+void StateService::serve_watch(const std::string& path, const Done& done) {
+  auto watch = std::make_shared<Watch>();
+  watch->prefix = query_parameter(path, "prefix");
+  watch->since = std::stoull(query_parameter(path, "since"));
+  watch->reply = done;
+  if (changes_.size() > limits_.changes_kept &&
+      changes_[changes_.size() - limits_.changes_kept].revision > watch->since + 1)
+    return done({410, "{}"});
+  if (HttpReply reply = changes_since(watch->prefix, watch->since); reply.status)
+    return done(reply);
+  watches_.push_back(watch);
+  const Ms wait = std::stoll(query_parameter(path, "wait_ms"));
+  environment_.at(environment_.now() + wait, [this, watch] {
+    // During an outage open watches stay open.
+    if (watch->answered || outage_) return;
+    watch->answered = true;
+    watch->reply({200, "{" + revision_text(revision_) + ",\"events\":[]}"});
+  });
+}
+
+void StateService::serve_list(const std::string& path, const Done& done) const {
+  const std::string prefix = query_parameter(path, "prefix");
+  const std::string since = query_parameter(path, "since");
+  std::size_t page = std::stoul(query_parameter(path, "page"));
+  std::string rows;
+  bool more = false;
+  for (auto row = since.empty() ? rows_.lower_bound(prefix) : rows_.upper_bound(since);
+       row != rows_.end() && has_prefix(row->first, prefix); ++row) {
+    if (page-- == 0) {
+      more = true;
+      break;
+    }
+    if (!rows.empty()) rows += ",";
+    rows += "{\"key\":\"" + row->first + "\",\"v\":" + row->second.value +
+            ",\"stamp\":" + std::to_string(row->second.revision) + "}";
+  }
+  done({200, "{\"rows\":[" + rows + "],\"more\":" + (more ? "true" : "false") + "," +
+                 revision_text(revision_) + "}"});
+}
+
+void StateService::serve_read(const std::string& key, const Done& done) const {
+  const auto row = rows_.find(key);
+  if (row == rows_.end()) return done({404, "{" + revision_text(revision_) + "}"});
+  done({200, "{\"key\":\"" + key + "\",\"v\":" + row->second.value +
+                 ",\"stamp\":" + std::to_string(row->second.revision) + "}"});
+}
+
+}  // namespace eiderreel::standin
--- /dev/null
+++ b/tests/standin/text.h
@@ -0,0 +1,37 @@
+// Small helpers for the bodies and paths of the simulated services.
+#pragma once
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <string>
+
+namespace eiderreel::standin {
+
+inline std::string json_text(const rapidjson::Value& value) {
+  rapidjson::StringBuffer buffer;
+  rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
+  value.Accept(writer);
+  return buffer.GetString();
+}
+
+inline std::string error_text(const char* what) {
+  return std::string("{\"error\":\"") + what + "\"}";
+}
+
+inline bool has_prefix(const std::string& text, const std::string& prefix) {
+  return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+// A parameter of the query part of a path; empty where it is missing.
+inline std::string query_parameter(const std::string& path, const std::string& name) {
+  auto begin = path.find('?');
+  while (begin != std::string::npos) {
+    const auto end = path.find('&', begin + 1);
+    const auto part = path.substr(begin + 1, end == std::string::npos ? end : end - begin - 1);
+    if (has_prefix(part, name + "=")) return part.substr(name.size() + 1);
+    begin = end;
+  }
+  return "";
+}
+
+}  // namespace eiderreel::standin
--- a/tests/standin/world.cc
+++ b/tests/standin/world.cc
@@ -1,47 +1,22 @@
 #include "standin/world.h"
 
 #include <rapidjson/document.h>
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
 #include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
 
 #include <cstdio>
 
+#include "standin/text.h"
+
 namespace eiderreel::standin {
 namespace {
 
 using rapidjson::Document;
-using rapidjson::Value;
 
 constexpr Ms kStep = 50;                   // ms; pace of the workers
 constexpr double kCpus = 8, kMemory = 64;  // of a machine
 constexpr double kFetch = 1.0;             // GB a second
 
-std::string text(const Value& v) {
-  rapidjson::StringBuffer b;
-  rapidjson::Writer<rapidjson::StringBuffer> w(b);
-  v.Accept(w);
-  return b.GetString();
-}
-
-std::string error(const char* what) { return std::string("{\"error\":\"") + what + "\"}"; }
-
-bool under(const std::string& s, const std::string& prefix) {
-  return s.compare(0, prefix.size(), prefix) == 0;
-}
-
-std::string query(const std::string& path, const std::string& name) {
-  auto q = path.find('?');
-  while (q != std::string::npos) {
-    auto end = path.find('&', q + 1);
-    auto part = path.substr(q + 1, end == std::string::npos ? end : end - q - 1);
-    if (under(part, name + "=")) return part.substr(name.size() + 1);
-    q = end;
-  }
-  return "";
-}
-
 // Log lines of the nodes become lines of the trace.
 class TraceSink : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
  public:
@@ -130,7 +105,14 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-World::World(Options o) : o_(o), checker_(o.teams, o.cancel_s), random_(o.seed) {
+World::World(Options o)
+    : o_(o),
+      checker_(o.teams, o.cancel_s),
+      random_(o.seed),
+      state_service_({[this] { return now_; },
+                      [this](Ms t, std::function<void()> f) { schedule(t, std::move(f)); },
+                      [this] { return chance(); }},
+                     {o.state_write_rps, o.limits, o.changes_kept}) {
   sink()->world = this;
   for (int i = 0; i < o_.nodes; ++i) {
     Proc p;
@@ -254,7 +236,7 @@
           deliver(
               to, from, [finish, reply] { finish(reply); }, reset);
         };
-        if (to == "state") return serve_state(from, r, std::move(back));
+        if (to == "state") return state_service_.serve(from, r, std::move(back));
         if (to == "cloud") return serve_cloud(r, std::move(back));
         for (std::size_t i = 0; i < procs_.size(); ++i)
           if (procs_[i].name == to)
@@ -348,206 +330,26 @@
 }
 
 int World::owner_of(int part) const {
-  auto it = rows_.find("e/part/" + std::to_string(part));
-  if (it == rows_.end()) return -1;
+  const std::string* record = state_service_.value("e/part/" + std::to_string(part));
+  if (!record) return -1;
   Document d;
-  d.Parse(it->second.value.c_str());
+  d.Parse(record->c_str());
   return std::atoi(d["owner"].GetString() + 1);
 }
 
-// ----------------------------------------------------------------------- state service
-
 void World::state_outage(bool on) {
   note(on ? "state outage" : "state is back");
-  state_down_ = on;
-  if (!on)
-    for (auto& [id, g] : grants_) g.ends = now_ + g.life;  // every grant has its full time again
+  state_service_.set_outage(on);
 }
 
 void World::state_refuses(int node, bool on) {
-  note("state " + std::string(on ? "refuses" : "serves") + " n" + std::to_string(node));
-  if (on)
-    refused_.insert("n" + std::to_string(node));
-  else
-    refused_.erase("n" + std::to_string(node));
-}
-
-void World::end_grants() {
-  if (state_down_) return;
-  for (auto it = grants_.begin(); it != grants_.end();) {
-    if (it->second.ends > now_) {
-      ++it;
-      continue;
-    }
-    const std::uint64_t id = it->first;
-    it = grants_.erase(it);
-    ++ledger_;
-    std::vector<std::string> keys;
-    for (const auto& [key, row] : rows_)
-      if (row.tether == id) keys.push_back(key);
-    for (const auto& key : keys) change(key, nullptr, 0);
-  }
-  wake_watches();
-}
-
-void World::change(const std::string& key, const std::string* value, std::uint64_t tether) {
-  if (value)
-    rows_[key] = {*value, ledger_, tether};
-  else
-    rows_.erase(key);
-  changes_.push_back({ledger_, key, value ? *value : "", value == nullptr});
-}
-
-HttpReply World::follow_now(const std::string& prefix, std::uint64_t since) const {
-  std::string events;
-  for (const auto& c : changes_) {
-    if (c.ledger <= since || !under(c.key, prefix)) continue;
-    if (!events.empty()) events += ",";
-    const std::string stamp = ",\"stamp\":" + std::to_string(c.ledger) + "}";
-    events += c.deleted ? "{\"delete\":\"" + c.key + "\"" + stamp
-                        : "{\"write\":\"" + c.key + "\",\"v\":" + c.value + stamp;
-  }
-  if (events.empty()) return {};
-  return {200, "{\"ledger\":" + std::to_string(ledger_) + ",\"events\":[" + events + "]}"};
-}
-
-void World::wake_watches() {
-  if (state_down_) return;
-  std::erase_if(watches_, [](const auto& w) { return w->answered; });
-  for (auto& w : std::vector(watches_)) {
-    HttpReply r = follow_now(w->prefix, w->since);
-    if (r.status == 0) continue;
-    w->answered = true;
-    w->reply(r);
-  }
-}
-
-HttpReply World::state_commit(const std::string& body) {
-  Document d;
-  d.Parse(body.c_str());
-  std::string failed;
-  for (const auto& g : d["guards"].GetArray()) {
-    auto it = rows_.find(g["key"].GetString());
-    const std::uint64_t stamp = it == rows_.end() ? 0 : it->second.stamp;
-    if (stamp == g["stamp"].GetUint64()) continue;
-    failed += (failed.empty() ? "\"" : ",\"") + std::string(g["key"].GetString()) + "\"";
-  }
-  for (const auto& w : d["writes"].GetArray())
-    if (w.HasMember("tether") && !grants_.count(w["tether"].GetUint64()))
-      return {400, error("no such lease")};
-  const std::string ledger = "\"ledger\":";
-  if (!failed.empty())
-    return {409, "{\"failed\":[" + failed + "]," + ledger + std::to_string(ledger_) + "}"};
-  ++ledger_;
-  for (const auto& w : d["writes"].GetArray()) {
-    if (w.HasMember("delete")) {
-      if (rows_.count(w["delete"].GetString())) change(w["delete"].GetString(), nullptr, 0);
-    } else {
-      const std::string value = text(w["v"]);
-      change(w["write"].GetString(), &value, w.HasMember("tether") ? w["tether"].GetUint64() : 0);
-    }
-  }
-  HttpReply r{200, "{" + ledger + std::to_string(ledger_) + "}"};
-  wake_watches();
-  return r;
-}
-
-// An outage does not end what is on its way: it lands once the state service is back.
-void World::land_late(Ms t, const std::string& body) {
-  schedule(t, [this, body] {
-    if (state_down_) return land_late(now_ + 500, body);
-    landed_late_ += state_commit(body).status == 200;
-  });
+  const std::string name = "n" + std::to_string(node);
+  note("state " + std::string(on ? "refuses " : "serves ") + name);
+  state_service_.set_refused(name, on);
 }
 
 double World::chance() { return static_cast<double>(random_() % 100000) / 100000; }
 
-void World::serve_state(const std::string& from, const HttpRequest& r, Done answer) {
-  Done done = answer;
-  if (state_slow_ms_ > 0 && !under(r.path, "/follow"))
-    done = [this, answer](HttpReply reply) {
-      schedule(now_ + static_cast<Ms>(chance() * static_cast<double>(state_slow_ms_)),
-               [answer, reply] { answer(reply); });
-    };
-  const bool down = state_down_ || refused_.count(from) > 0;
-  if (down) return done({503, error("outage")});
-  if (r.path == "/commit") {
-    Document d;
-    d.Parse(r.body.c_str());
-    const double rate = o_.state_write_rps, n = d["writes"].GetArray().Size();
-    write_tokens_ =
-        std::min(rate, write_tokens_ + static_cast<double>(now_ - refilled_) / 1000 * rate);
-    refilled_ = now_;
-    if (o_.limits && write_tokens_ < n) {
-      ++over_limit_;
-      return done({429, "{}"});
-    }
-    write_tokens_ -= n;
-    ++commits_;
-    if (late_.share > 0 && chance() < late_.share) {
-      ++without_answer_;
-      const double late_s = late_.least_s + (late_.most_s - late_.least_s) * chance();
-      return land_late(now_ + static_cast<Ms>(late_s * 1000), r.body);
-    }
-    return done(state_commit(r.body));
-  }
-  if (r.path == "/grants") {
-    Document d;
-    d.Parse(r.body.c_str());
-    const Ms life = d["life_ms"].GetInt64();
-    grants_[++next_grant_] = {life, now_ + life};
-    return done({200, "{\"tether\":" + std::to_string(next_grant_) + "}"});
-  }
-  if (under(r.path, "/grants/")) {
-    const std::uint64_t id = std::stoull(r.path.substr(8));
-    auto it = grants_.find(id);
-    if (it == grants_.end()) return done({404, "{}"});
-    it->second.ends = r.method == "DELETE" ? now_ : now_ + it->second.life;
-    if (r.method == "DELETE") end_grants();
-    return done({200, "{\"tether\":" + std::to_string(id) + "}"});
-  }
-  if (under(r.path, "/follow")) {
-    auto w = std::make_shared<Watch>();
-    w->prefix = query(r.path, "prefix");
-    w->since = std::stoull(query(r.path, "since"));
-    w->reply = done;
-    if (changes_.size() > o_.changes_kept &&
-        changes_[changes_.size() - o_.changes_kept].ledger > w->since + 1)
-      return done({410, "{}"});
-    if (HttpReply now = follow_now(w->prefix, w->since); now.status) return done(now);
-    watches_.push_back(w);
-    schedule(now_ + std::stoll(query(r.path, "wait_ms")), [this, w] {
-      // During an outage, and while one node is refused, open watches stay open.
-      if (w->answered || state_down_) return;
-      w->answered = true;
-      w->reply({200, "{\"ledger\":" + std::to_string(ledger_) + ",\"events\":[]}"});
-    });
-    return;
-  }
-  if (under(r.path, "/kv?")) {
-    const std::string prefix = query(r.path, "prefix"), since = query(r.path, "since");
-    std::size_t page = std::stoul(query(r.path, "page"));
-    std::string rows;
-    bool more = false;
-    for (auto it = since.empty() ? rows_.lower_bound(prefix) : rows_.upper_bound(since);
-         it != rows_.end() && under(it->first, prefix); ++it) {
-      if (page-- == 0) {
-        more = true;
-        break;
-      }
-      rows +=
-          (rows.empty() ? "" : ",") + ("{\"key\":\"" + it->first + "\",\"v\":" + it->second.value +
-                                       ",\"stamp\":" + std::to_string(it->second.stamp) + "}");
-    }
-    return done({200, "{\"rows\":[" + rows + "],\"more\":" + (more ? "true" : "false") +
-                          ",\"ledger\":" + std::to_string(ledger_) + "}"});
-  }
-  auto it = rows_.find(r.path.substr(4));
-  if (it == rows_.end()) return done({404, "{\"ledger\":" + std::to_string(ledger_) + "}"});
-  done({200, "{\"key\":\"" + it->first + "\",\"v\":" + it->second.value +
-                 ",\"stamp\":" + std::to_string(it->second.stamp) + "}"});
-}
-
 // -------------------------------------------------------------------------------- cloud
 
 World::Worker& World::add_worker(const std::string& zone, bool spot, double boot_s) {
@@ -565,7 +367,7 @@
 }
 
 void World::serve_cloud(const HttpRequest& r, Done done) {
-  if (cloud_down_) return done({503, error("trouble")});
+  if (cloud_down_) return done({503, error_text("trouble")});
   if (r.path == "/catalog")
     return done({200,
                  "{\"hulls\":[{\"name\":\"box\",\"cores\":8.0,\"accelerators\":0,\"mem_gb\":64.0,"
@@ -585,7 +387,7 @@
         if (w->zone == zone && w->spot == spot && !w->gone) ++here;
       const int base = spot ? 0 : (o_.machines + 1) / 2;
       int room = no_capacity_ ? 0 : base + o_.capacity - here;
-      if (room <= 0) return done({503, error("no capacity")});
+      if (room <= 0) return done({503, error_text("no capacity")});
       std::vector<std::string> ids;
       for (int n = d["how_many"].GetInt(); n > 0 && room > 0; --n, --room)
         ids.push_back(add_worker(zone, spot, o_.boot_s).id);
@@ -749,7 +551,7 @@
 
 void World::tick_workers() {
   schedule(now_ + kStep, [this] { tick_workers(); });
-  end_grants();
+  state_service_.end_leases();
   checker_.look(now());
   for (auto& [id, pw] : workers_) {
     Worker& w = *pw;
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -13,6 +13,7 @@
 
 #include "actors/node.h"
 #include "standin/checker.h"
+#include "standin/state_service.h"
 
 namespace eiderreel::standin {
 
@@ -78,15 +79,11 @@
   void heal();
   void state_outage(bool on);             // 503 for all
   void state_refuses(int node, bool on);  // 503 for one node
-  // That share of the transactions gets no answer and is carried out so much later, also after
-  // newer ones. Soon: only the answer is lost.
-  struct LateWrites {
-    double share = 0, least_s = 2, most_s = 12;
-  };
-  void late_writes(LateWrites w) { late_ = w; }
-  // That share of the direct commands is carried out so much later, unanswered.
-  void late_commands(LateWrites w) { late_commands_ = w; }
-  void state_slow(double most_s) { state_slow_ms_ = static_cast<Ms>(most_s * 1000); }
+  using LateWrites = Delays;
+  void late_writes(Delays delays) { state_service_.set_late_writes(delays); }
+  // Of direct commands.
+  void late_commands(Delays delays) { late_commands_ = delays; }
+  void state_slow(double most_s) { state_service_.set_slowest(static_cast<Ms>(most_s * 1000)); }
   void cloud_outage(bool on) { cloud_down_ = on; }
   void kill_machine(const std::string& id);  // stops, with all that is on it
   void take_machine(const std::string& id, double notice_s);
@@ -110,8 +107,8 @@
   std::size_t tasks_on(const std::string& job) const;
   std::vector<std::string> machines_of(const std::string& job) const;
   std::size_t machines_up() const;
-  std::size_t commits() const { return commits_; }
-  std::size_t refused_over_limit() const { return over_limit_; }
+  std::size_t commits() const { return state_service_.counters().commits; }
+  std::size_t refused_over_limit() const { return state_service_.counters().over_limit; }
   std::size_t launches_to(const std::string& machine) const;
   // Reports that a node has answered with 200.
   std::size_t reports_taken(int node) const;
@@ -124,9 +121,9 @@
   // Lines of the trace that hold this text.
   std::size_t lines(const std::string& text) const;
   // Transactions that were carried out late.
-  std::size_t landed_late() const { return landed_late_; }
+  std::size_t landed_late() const { return state_service_.counters().landed_late; }
   // Transactions that got no answer, whether they landed or met newer ones.
-  std::size_t without_answer() const { return without_answer_; }
+  std::size_t without_answer() const { return state_service_.counters().without_answer; }
   // Direct commands that were held up.
   std::size_t commands_late() const { return commands_late_; }
   // Longest wait of a user for an acceptance, seconds.
@@ -149,24 +146,6 @@
     Ms frozen_until = 0;
     std::shared_ptr<std::function<void()>> tick;
   };
-  struct Row {
-    std::string value;
-    std::uint64_t stamp = 0, tether = 0;
-  };
-  struct Change {
-    std::uint64_t ledger;
-    std::string key, value;
-    bool deleted;
-  };
-  struct Grant {
-    Ms life = 0, ends = 0;
-  };
-  struct Watch {
-    std::string prefix;
-    std::uint64_t since;
-    std::function<void(HttpReply)> reply;
-    bool answered = false;
-  };
   struct Task {
     std::uint64_t attempt = 0;
     std::string phase, exit_reason;
@@ -195,17 +174,10 @@
                std::function<void()> reset);
   const CutMode* cut_between(const std::string& a, const std::string& b) const;
   void call(const std::string& from, HttpRequest r, Done done);
-  void serve_state(const std::string& from, const HttpRequest& r, Done done);
   void serve_cloud(const HttpRequest& r, Done done);
   void serve_worker(Worker& w, const HttpRequest& r, Done done);
-  HttpReply state_commit(const std::string& body);
-  void land_late(Ms t, const std::string& body);
   double chance();
   void look_for_room();
-  void change(const std::string& key, const std::string* value, std::uint64_t tether);
-  void wake_watches();
-  HttpReply follow_now(const std::string& prefix, std::uint64_t since) const;
-  void end_grants();
   void check_entitled(const Node& node, const std::string& report);
   void start_node(std::size_t i);
   void when_awake(std::size_t i, std::function<void()> f);
@@ -247,25 +219,15 @@
   };
   std::vector<Cut> cuts_;
   std::vector<Held> held_;
-  // state service
-  std::map<std::string, Row> rows_;
-  std::vector<Change> changes_;
-  std::map<std::uint64_t, Grant> grants_;
-  std::vector<std::shared_ptr<Watch>> watches_;
-  std::uint64_t ledger_ = 0, next_grant_ = 0;
-  bool state_down_ = false;
-  std::set<std::string> refused_;
+  StateService state_service_;
   std::set<std::string> deaf_, mute_;
-  LateWrites late_, late_commands_;
-  Ms state_slow_ms_ = 0;
-  std::size_t landed_late_ = 0, without_answer_ = 0, commands_late_ = 0;
+  Delays late_commands_;
+  std::size_t commands_late_ = 0;
   std::map<int, std::size_t> reports_taken_;
   std::map<std::string, Confirmed> confirmed_;
   bool copies_ = false;
   std::size_t copies_sent_ = 0;
-  double write_tokens_ = 0, slowest_acceptance_ = 0;
-  Ms refilled_ = 0;
-  std::size_t commits_ = 0, over_limit_ = 0;
+  double slowest_acceptance_ = 0;
   std::map<std::string, std::size_t> launches_;
   // cloud and workers
   std::map<std::string, std::unique_ptr<Worker>> workers_;
