--- a/tests/standin/state_service.cc
+++ b/tests/standin/state_service.cc
@@ -29,11 +29,11 @@
       environment_.at(environment_.now() + static_cast<Ms>(wait),
                       [answer, reply] { answer(reply); });
     };
-  if (outage_ || refused_.count(from) > 0) return done({503, error_text("outage")});
+  if (is_down_for(from)) return done({503, error_text("outage")});
   if (path == "/commit") return serve_commit(request.body, done);
   if (path == "/grants") return serve_new_lease(request.body, done);
   if (has_prefix(path, "/grants/")) return serve_lease(request, done);
-  if (has_prefix(path, "/follow")) return serve_watch(path, done);
+  if (has_prefix(path, "/follow")) return serve_watch(from, path, done);
   if (has_prefix(path, "/kv?")) return serve_list(path, done);
   serve_read(path.substr(4), done);
 }
@@ -55,6 +55,7 @@
     refused_.insert(node);
   else
     refused_.erase(node);
+  wake_watches();
 }
 
 // ------------------------------------------------------------------------------- leases
@@ -187,9 +188,9 @@
 }
 
 void StateService::wake_watches() {
-  if (outage_) return;
   std::erase_if(watches_, [](const auto& watch) { return watch->answered; });
   for (auto& watch : std::vector(watches_)) {
+    if (is_down_for(watch->from)) continue;
     HttpReply reply = changes_since(watch->prefix, watch->since);
     if (reply.status == 0) continue;
     watch->answered = true;
@@ -197,8 +198,9 @@
   }
 }
 
-void StateService::serve_watch(const std::string& path, const Done& done) {
+void StateService::serve_watch(const std::string& from, const std::string& path, const Done& done) {
   auto watch = std::make_shared<Watch>();
+  watch->from = from;
   watch->prefix = query_parameter(path, "prefix");
   watch->since = std::stoull(query_parameter(path, "since"));
   watch->reply = done;
@@ -210,8 +212,8 @@
   watches_.push_back(watch);
   const Ms wait = std::stoll(query_parameter(path, "wait_ms"));
   environment_.at(environment_.now() + wait, [this, watch] {
-    // During an outage open watches stay open.
-    if (watch->answered || outage_) return;
+    // In an outage, and while one node is refused, open watches stay open.
+    if (watch->answered || is_down_for(watch->from)) return;
     watch->answered = true;
     watch->reply({200, "{" + revision_text(revision_) + ",\"events\":[]}"});
   });
--- a/tests/standin/state_service.h
+++ b/tests/standin/state_service.h
@@ -67,7 +67,7 @@
     Ms life = 0, ends = 0;
   };
   struct Watch {
-    std::string prefix;
+    std::string from, prefix;
     std::uint64_t since;
     Done reply;
     bool answered = false;
@@ -76,7 +76,8 @@
   void serve_commit(const std::string& body, const Done& done);
   void serve_new_lease(const std::string& body, const Done& done);
   void serve_lease(const HttpRequest& request, const Done& done);
-  void serve_watch(const std::string& path, const Done& done);
+  void serve_watch(const std::string& from, const std::string& path, const Done& done);
+  bool is_down_for(const std::string& node) const { return outage_ || refused_.count(node) > 0; }
   void serve_list(const std::string& path, const Done& done) const;
   void serve_read(const std::string& key, const Done& done) const;
   bool take_write_tokens(double writes);
