--- a/src/actors/node.cc
+++ b/src/actors/controller.cc
@@ -1,4 +1,4 @@
-#include "actors/node.h"
+#include "actors/controller.h"
 
 #include <spdlog/spdlog.h>
 
@@ -8,7 +8,7 @@
 
 namespace k = constants;
 
-Node::Node(Runtime& rt, const Settings& s)
+Controller::Controller(Runtime& rt, const Settings& s)
     : rt_(rt),
       s_(s),
       state_store_(rt, s),
@@ -16,16 +16,16 @@
       job_api_(rt, s, state_store_, owner_),
       fleet_(rt, s, state_store_, owner_) {}
 
-void Node::send(const std::string& node, const mesh::Body& body) {
+void Controller::send(const std::string& node, const mesh::Body& body) {
   rt_.send(node, mesh::encode({s_.node, body}));
 }
 
-void Node::broadcast(const mesh::Body& body) {
+void Controller::broadcast(const mesh::Body& body) {
   const std::string bytes = mesh::encode({s_.node, body});
   for (const auto& p : s_.peers) rt_.send(p.name, bytes);
 }
 
-void Node::start() {
+void Controller::start() {
   owner_.start({[this](const Report& r, Reply reply) { fleet_.assign(r, std::move(reply)); },
                 [this](const mesh::Body& b) { broadcast(b); }});
   job_api_.start({[this](const std::string& node, const mesh::Ask& a) { send(node, a); }});
@@ -45,20 +45,20 @@
                       [this] { owner_.grant_lost(); }});
 }
 
-void Node::tick() {
+void Controller::tick() {
   state_store_.tick();
   owner_.tick();
   fleet_.tick();
 }
 
-void Node::frame(const std::string& bytes) {
+void Controller::frame(const std::string& bytes) {
   auto m = mesh::decode(bytes);
   if (!m) {
     spdlog::warn("mesh frame malformed bytes={}", bytes.size());
     return;
   }
   struct Visitor {
-    Node& n;
+    Controller& n;
     const std::string& from;
     void operator()(const mesh::Ask& a) {
       n.owner_.ask(a, [node = &n, from = from, number = a.number](int status, std::string body) {
@@ -70,14 +70,14 @@
     void operator()(const mesh::Move& mv) { n.owner_.move(mv); }
     void operator()(const mesh::Shed& sh) { n.owner_.shed(sh); }
     void operator()(const mesh::Gone& g) { n.owner_.machines_gone(g.machines); }
-    void operator()(const mesh::PledgeAsk& a) { n.send(from, n.owner_.pledge(from, a)); }
-    void operator()(const mesh::Pledge& p) { n.owner_.pledged(from, p); }
+    void operator()(const mesh::PromiseRequest& a) { n.send(from, n.owner_.give_promise(from, a)); }
+    void operator()(const mesh::Promise& p) { n.owner_.take_promise(from, p); }
   };
   std::visit(Visitor{*this, m->from}, m->body);
 }
 
-void Node::request(const std::string& method, const std::string& path, const std::string& body,
-                   Reply reply) {
+void Controller::request(const std::string& method, const std::string& path,
+                         const std::string& body, Reply reply) {
   if (body.size() > k::kBodyMax) return reply(413, codec::error_body("the body is over 64 KiB"));
   auto only = [&](const char* allowed) {
     if (method == allowed) return true;
--- a/src/actors/node.h
+++ b/src/actors/controller.h
@@ -9,9 +9,9 @@
 
 namespace eiderreel {
 
-class Node {
+class Controller {
  public:
-  Node(Runtime& rt, const Settings& s);
+  Controller(Runtime& rt, const Settings& s);
   void start();
   void tick();  // every kTickMs
 
--- a/src/actors/fleet.cc
+++ b/src/actors/fleet.cc
@@ -305,23 +305,23 @@
   // Guard: jobs bound to a zone whose machines were lost waited for ever while idle ones elsewhere
   // made up for them in the sums.
   for (const auto& [p, n] : needs)
-    for (const auto& [id, cpus] : n.stranded) {
+    for (const auto& [id, cpus] : n.unplaceable) {
       auto j = state_store_.view().jobs.find(id);
       if (j == state_store_.view().jobs.end()) continue;
-      double stranded = cpus;
+      double unplaceable = cpus;
       std::erase_if(on_their_way, [&](const Coming& m) {
-        if (stranded <= 0 || !allowed(j->second.spec, *m.type, m.zone, m.spot)) return false;
-        stranded -= m.type->cpus;
+        if (unplaceable <= 0 || !allowed(j->second.spec, *m.type, m.zone, m.spot)) return false;
+        unplaceable -= m.type->cpus;
         return true;
       });
-      if (stranded > 0) coming_cpus += rent_for(j->second.spec, stranded);
+      if (unplaceable > 0) coming_cpus += rent_for(j->second.spec, unplaceable);
     }
   for (const auto& t : types_) boot = std::max(boot, t.boot_s);
-  // Where the usual slack before a deadline is long beside a boot time, thrift costs little:
+  // Where the usual slack before a deadline is long beside a boot time, cost saving costs little:
   // enough is rented for the queue to be worked off within a part of the slack. (What is done
   // during a boot is not taken off: while work keeps coming, as much is added.) Services wait for
   // nothing. Elsewhere all that waits is rented for.
-  const bool thrift = all.slack_s >= k::kThriftBoots * boot;
+  const bool saves_cost = all.slack_s >= k::kCostSavingBoots * boot;
   // A small fleet evens out less, so its queue is given less time.
   const double machines = static_cast<double>(known_.size());
   const double patience = k::kPatience * machines / (machines + k::kEvenMachines);
@@ -329,10 +329,10 @@
   const double queue_s =
       all.wait_s > 0 ? std::min(all.slack_s, all.wait_s * k::kWaitShare) : all.slack_s;
   const double asked =
-      thrift ? std::min(all.waiting_cpus,
-                        std::max(all.waiting_core_s / (queue_s * patience) - all.total_cpus,
-                                 all.waiting_service_cpus))
-             : all.waiting_cpus;
+      saves_cost ? std::min(all.waiting_cpus,
+                            std::max(all.waiting_core_s / (queue_s * patience) - all.total_cpus,
+                                     all.waiting_service_cpus))
+                 : all.waiting_cpus;
   const double lack = asked - all.idle_cpus - coming_cpus;
   spdlog::debug(
       "fleet asked={:.0f} waiting={:.0f} work={:.0f} used={:.0f} idle={:.0f} coming={:.0f} "
@@ -345,10 +345,10 @@
     short_since_ = now;
   }
   const bool lasts = lack > 0 && now - short_since_ >= k::kNeedLastsMs;
-  // Where thrift pays, what may run on spot machines is moved to them while there are any.
-  const double cheaper = thrift ? all.used_cpus - all.used_service_cpus + all.waiting_spot_cpus -
-                                      all.spot_cpus - coming_spot
-                                : 0;
+  // Where cost saving pays, what may run on spot machines is moved to them while there are any.
+  const double cheaper = saves_cost ? all.used_cpus - all.used_service_cpus +
+                                          all.waiting_spot_cpus - all.spot_cpus - coming_spot
+                                    : 0;
   if (lasts || cheaper > 0)
     rent_cheapest(lasts ? lack : 0,
                   std::max(cheaper, all.waiting_spot_cpus > coming_cpus ? lack : 0.0));
@@ -356,7 +356,7 @@
   // Guard: spot ones that dearer machines do the work of would be rented again at once.
   double surplus = all.idle_cpus - all.waiting_cpus;
   for (bool spot : {false, true}) {
-    if (spot && thrift) surplus = std::min(surplus, -cheaper);
+    if (spot && saves_cost) surplus = std::min(surplus, -cheaper);
     for (const auto& [p, n] : needs) {
       const double go = std::min(surplus, spot ? n.rested_spot_cpus : n.rested_cpus);
       if (go <= 0) continue;
--- a/src/actors/metrics.cc
+++ b/src/actors/metrics.cc
@@ -8,7 +8,7 @@
 #include <cstdio>
 #include <map>
 
-#include "actors/node.h"
+#include "actors/controller.h"
 
 namespace eiderreel {
 namespace {
@@ -77,33 +77,33 @@
   return out;
 }
 
-std::string metrics_text(const Node& node) {
+std::string metrics_text(const Controller& controller) {
   Text t;
-  const View& v = node.state_store().view();
+  const View& v = controller.state_store().view();
   t.type("ready", "gauge", "1 when this node serves users");
-  t.value("ready", "", node.job_api().ready() ? 1 : 0);
+  t.value("ready", "", controller.job_api().ready() ? 1 : 0);
   t.type("open_jobs", "gauge", "accepted jobs that are not final, of all parts");
   t.value("open_jobs", "", v.jobs.size());
   t.type("machines", "gauge", "machines assigned to a part, of all parts");
   t.value("machines", "", v.machines.size());
   t.type("part_term", "gauge", "term of each part owned here");
-  for (const auto& [part, p] : node.owner().parts())
+  for (const auto& [part, p] : controller.owner().parts())
     t.value("part_term", fmt::format("part=\"{}\"", part), p->term());
   t.type("part_jobs", "gauge", "open jobs of each part owned here, by phase");
-  for (const auto& [part, p] : node.owner().parts()) {
+  for (const auto& [part, p] : controller.owner().parts()) {
     const auto c = p->count();
     t.value("part_jobs", fmt::format("part=\"{}\",phase=\"queued\"", part), c.jobs_queued);
     t.value("part_jobs", fmt::format("part=\"{}\",phase=\"running\"", part), c.jobs_running);
   }
   t.type("part_tasks", "gauge", "tasks of open jobs of each part owned here, by state");
-  for (const auto& [part, p] : node.owner().parts()) {
+  for (const auto& [part, p] : controller.owner().parts()) {
     const auto c = p->count();
     t.value("part_tasks", fmt::format("part=\"{}\",state=\"queued\"", part), c.queued);
     t.value("part_tasks", fmt::format("part=\"{}\",state=\"bound\"", part), c.bound);
     t.value("part_tasks", fmt::format("part=\"{}\",state=\"running\"", part), c.running);
     t.value("part_tasks", fmt::format("part=\"{}\",state=\"done\"", part), c.done);
   }
-  const auto& o = node.owner().counters();
+  const auto& o = controller.owner().counters();
   auto counter = [&](const char* name, const char* help, std::uint64_t n) {
     t.type(name, "counter", help);
     t.value(name, "", n);
@@ -114,17 +114,17 @@
   counter("hand_backs_total", "parts handed back", o.handed_back);
   counter("reports_total", "reports received", o.reports);
   counter("stale_reports_total", "reports late, repeated or under a higher term", o.stale_reports);
-  counter("parked_reports_total", "reports that waited for work", o.parked);
+  counter("deferred_reports_total", "reports that waited for work", o.deferred);
   counter("leases_over_total", "machines given up by their lease", o.leases_over);
-  const auto& f = node.fleet().counters();
+  const auto& f = controller.fleet().counters();
   counter("rented_total", "machines rented", f.rented);
   counter("returned_total", "machines returned", f.returned);
   t.by_status("state_requests_total", "requests to the state service by status, 0: no answer",
-              node.state_store().counters().replies);
+              controller.state_store().counters().replies);
   counter("state_refused_here_total", "requests over our own share of the state service's limits",
-          node.state_store().counters().refused_here);
+          controller.state_store().counters().refused_here);
   t.by_status("cloud_requests_total", "requests to the cloud by status, 0: no answer", f.replies);
-  const auto& d = node.job_api().counters();
+  const auto& d = controller.job_api().counters();
   t.by_status("user_requests_total", "answers to users by kind and status", d.submits,
               "kind=\"submit\"");
   t.status_lines("user_requests_total", d.polls, "kind=\"poll\"");
@@ -138,10 +138,10 @@
   return t.out();
 }
 
-std::string status_json(const Node& node) {
+std::string status_json(const Controller& controller) {
   rapidjson::StringBuffer b;
   rapidjson::Writer<rapidjson::StringBuffer> w(b);
-  const View& v = node.state_store().view();
+  const View& v = controller.state_store().view();
   auto number = [&](const char* key, double n) {
     w.Key(key);
     w.Double(n);
@@ -152,17 +152,17 @@
   };
   w.StartObject();
   w.Key("node");
-  w.String(node.settings().node.c_str());
+  w.String(controller.settings().node.c_str());
   w.Key("ready");
-  w.Bool(node.job_api().ready());
+  w.Bool(controller.job_api().ready());
   count("open_jobs", v.jobs.size());
   count("machines", v.machines.size());
   count("resident_bytes", resident_bytes());
   w.Key("parts");
   w.StartArray();
-  const auto needs = node.owner().needs();
-  const auto own = node.owner().parts();
-  for (int part = 0; part < node.settings().parts; ++part) {
+  const auto needs = controller.owner().needs();
+  const auto own = controller.owner().parts();
+  for (int part = 0; part < controller.settings().parts; ++part) {
     w.StartObject();
     count("part", static_cast<std::uint64_t>(part));
     auto entry = v.parts.find(part);
--- a/src/actors/metrics.h
+++ b/src/actors/metrics.h
@@ -7,7 +7,7 @@
 
 namespace eiderreel {
 
-class Node;
+class Controller;
 
 // Latencies of one kind, in milliseconds; buckets grow by a factor.
 class Latency {
@@ -23,7 +23,7 @@
   double sum_ms_ = 0;
 };
 
-std::string metrics_text(const Node& node);
-std::string status_json(const Node& node);
+std::string metrics_text(const Controller& controller);
+std::string status_json(const Controller& controller);
 
 }  // namespace eiderreel
--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -11,7 +11,7 @@
       s_(s),
       state_store_(state_store),
       started_(rt.now()),
-      next_pledge_(static_cast<std::uint64_t>(rt.random() * 9e15)) {}
+      next_promise_request_(static_cast<std::uint64_t>(rt.random() * 9e15)) {}
 
 Owner::Owned* Owner::owned(int part) {
   auto it = owned_.find(part);
@@ -72,10 +72,10 @@
   if (m->second.record.part < 0) return reply(503, "");  // released; it is being returned
   Owned* o = acting_owned(m->second.record.part);
   if (!o) return redirect(r, m->second.record.part, std::move(reply));
-  // A newer report of the worker: it no longer waits for the answer to the parked one.
-  if (auto p = o->parked.find(r.machine); p != o->parked.end()) {
+  // A newer report of the worker: it no longer waits for the answer to the deferred one.
+  if (auto p = o->deferred.find(r.machine); p != o->deferred.end()) {
     auto old = std::move(p->second.reply);
-    o->parked.erase(p);
+    o->deferred.erase(p);
     old(503, "");
   }
   const Ms now = rt_.now();
@@ -87,10 +87,10 @@
   if (r.term < a.term) return answer(*o, r.machine, std::move(a.commands), std::move(reply));
   auto starts = o->core->place(r.machine, now);
   a.commands.insert(a.commands.end(), starts.begin(), starts.end());
-  const Ms park = a.commands.empty() ? o->core->park_ms(r.machine) : 0;
-  if (park > 0) {
-    ++counters_.parked;
-    o->parked[r.machine] = {std::move(reply), now + park};
+  const Ms defer = a.commands.empty() ? o->core->defer_ms(r.machine) : 0;
+  if (defer > 0) {
+    ++counters_.deferred;
+    o->deferred[r.machine] = {std::move(reply), now + defer};
     return;
   }
   answer(*o, r.machine, std::move(a.commands), std::move(reply));
@@ -149,7 +149,7 @@
   reply(200, codec::report_answer(o.core->term_of(machine), commands));
 }
 
-// Work has come or room has freed: the parked machines are looked at, one by one. Invariant 6,
+// Work has come or room has freed: the deferred machines are looked at, one by one. Invariant 6,
 // guard: whoever has stood still finds changes of the state service before its own pace, and the
 // lease may be over by then.
 void Owner::pump(Owned& o) {
@@ -158,16 +158,16 @@
   std::vector<std::pair<std::string, std::vector<Command>>> ready;
   const bool waiting = o.core->has_waiting();
   std::vector<std::string> ids;
-  for (const auto& [id, p] : o.parked) ids.push_back(id);
+  for (const auto& [id, p] : o.deferred) ids.push_back(id);
   if (waiting) ids = o.core->fullest_first(std::move(ids));
   for (const auto& id : ids) {
-    const Parked& p = o.parked.at(id);
+    const DeferredReply& p = o.deferred.at(id);
     auto starts = waiting ? o.core->place(id, now) : std::vector<Command>{};
     if (!starts.empty() || p.until <= now) ready.emplace_back(id, std::move(starts));
   }
   for (auto& [id, starts] : ready) {
-    auto reply = std::move(o.parked[id].reply);
-    o.parked.erase(id);
+    auto reply = std::move(o.deferred[id].reply);
+    o.deferred.erase(id);
     answer(o, id, std::move(starts), std::move(reply));
   }
 }
@@ -178,9 +178,9 @@
   if (!acting(o.core->index())) return;
   for (auto& kill : o.core->take_kills()) {
     // A worker that waits for its answer hears of it there; the others by /commands.
-    if (auto p = o.parked.find(kill.machine); p != o.parked.end()) {
+    if (auto p = o.deferred.find(kill.machine); p != o.deferred.end()) {
       auto reply = std::move(p->second.reply);
-      o.parked.erase(p);
+      o.deferred.erase(p);
       answer(o, kill.machine, std::move(kill.commands), std::move(reply));
       continue;
     }
@@ -224,9 +224,9 @@
       o.core->add_machine(id, it->second.stamp, it->second.stamp > o.core->term(), rt_.now());
     } else if (o.core->has_machine(id)) {
       // Given away by our own commit, idle; or released. Nothing of ours is on it.
-      if (auto parked = o.parked.find(id); parked != o.parked.end()) {
-        auto reply = std::move(parked->second.reply);
-        o.parked.erase(parked);
+      if (auto deferred = o.deferred.find(id); deferred != o.deferred.end()) {
+        auto reply = std::move(deferred->second.reply);
+        o.deferred.erase(deferred);
         reply(503, "");
       }
       o.core->remove_machine(id);
@@ -470,7 +470,7 @@
   claim_vacant();
   hand_back();
   hand_over_if_workers_lost();
-  ask_pledges();
+  request_promises();
   release_held_reports();
   const Ms now = rt_.now();
   for (auto& [part, o] : owned_) {
@@ -484,9 +484,9 @@
     }
     if (!acts) {
       // Not entitled at the moment: those who wait are sent on, nothing is started.
-      auto parked = std::move(o.parked);
-      o.parked.clear();
-      for (auto& [id, p] : parked) p.reply(503, "");
+      auto deferred = std::move(o.deferred);
+      o.deferred.clear();
+      for (auto& [id, p] : deferred) p.reply(503, "");
       continue;
     }
     send_kills(o);
--- a/src/actors/owner.h
+++ b/src/actors/owner.h
@@ -21,7 +21,7 @@
     std::function<void(const mesh::Body&)> broadcast;
   };
   struct Counters {
-    std::uint64_t claims = 0, handed_back = 0, reports = 0, stale_reports = 0, parked = 0;
+    std::uint64_t claims = 0, handed_back = 0, reports = 0, stale_reports = 0, deferred = 0;
     std::uint64_t starts = 0, leases_over = 0;
     std::uint64_t preemptions = 0;
   };
@@ -43,8 +43,8 @@
   void part_changed(int part);
   void grant_lost();
   // A peer asks us not to claim its parts for a while; what we promise, and what we hand over.
-  mesh::Pledge pledge(const std::string& node, const mesh::PledgeAsk& a);
-  void pledged(const std::string& node, const mesh::Pledge& p);
+  mesh::Promise give_promise(const std::string& node, const mesh::PromiseRequest& a);
+  void take_promise(const std::string& node, const mesh::Promise& p);
   void types_known(const std::vector<MachineType>& types);
 
   // --- what others may know ---
@@ -57,7 +57,7 @@
   const Counters& counters() const { return counters_; }
 
  private:
-  struct Parked {
+  struct DeferredReply {
     Reply reply;
     Ms until = 0;
   };
@@ -81,7 +81,7 @@
   struct Owned {
     std::unique_ptr<Part> core;
     bool active = false;
-    std::map<std::string, Parked> parked;
+    std::map<std::string, DeferredReply> deferred;
     std::map<std::string, Flush> flushes;
   };
   struct PeerNews {
@@ -95,7 +95,7 @@
   void name_owner(int part, const Reply& reply) const;
   void release_held_reports();
   bool entitled() const;
-  void ask_pledges();
+  void request_promises();
   Owned* owned(int part);
   Owned* acting_owned(int part);
   int part_of_job(const std::string& id) const;
@@ -125,7 +125,7 @@
   void finish(int part, const std::string& id, Reply reply);
   void finished(int part, const std::string& id, std::uint64_t term, Outcome out, JobPhase phase,
                 const Reply& reply);
-  bool promises(const std::string& node, const mesh::PledgeAsk& a) const;
+  bool may_promise(const std::string& node, const mesh::PromiseRequest& a) const;
   std::vector<codec::Guard> job_guards(int part, const std::string& id) const;
 
   Runtime& rt_;
@@ -138,13 +138,13 @@
   std::map<int, std::string> last_owner_;
   std::set<int> claiming_;                  // a claim of ours is on its way
   std::set<int> in_doubt_;                  // one may still land, for as long as our grant lasts
-  std::map<int, Ms> promised_;              // parts that we must not claim until then
+  std::map<int, Ms> promised_to_peers_;     // parts that we must not claim until then
   std::map<int, std::uint64_t> giving_up_;  // dropped by us, their keys (stamps) not yet deleted
-  // Pledges of peers to us: the sending time of the question, and until when each holds.
-  std::map<std::uint64_t, Ms> pledge_asked_;
-  std::map<std::string, Ms> pledge_until_;
-  Ms pledge_asked_at_ = 0, started_ = 0;
-  std::uint64_t next_pledge_ = 0;
+  // Promises of peers to us: the sending time of the question, and until when each holds.
+  std::map<std::uint64_t, Ms> promise_requests_;
+  std::map<std::string, Ms> peer_promises_;
+  Ms promises_requested_at_ = 0, started_ = 0;
+  std::uint64_t next_promise_request_ = 0;
   std::map<std::string, PeerNews> peers_;
   std::vector<MachineType> types_;
   Ms last_status_ = 0;
--- a/src/actors/owner_parts.cc
+++ b/src/actors/owner_parts.cc
@@ -1,4 +1,4 @@
-// Whose part is whose: claims, pledges, activation, hand-back and loss. What an owner does with a
+// Whose part is whose: claims, promises, activation, hand-back and loss. What an owner does with a
 // part stands in owner.cc.
 #include <spdlog/spdlog.h>
 
@@ -9,14 +9,14 @@
 namespace k = constants;
 
 // Invariant 6: whoever is not surely the owner does nothing. Sure is who has a live grant, or,
-// while nobody reaches the state service, the pledges of all peers not to claim its parts.
+// while nobody reaches the state service, the promises of all peers not to claim its parts.
 bool Owner::entitled() const {
   if (state_store_.grant_alive()) return true;
   if (state_store_.grant() == 0 || s_.peers.empty()) return false;
   const Ms now = rt_.now();
   return std::all_of(s_.peers.begin(), s_.peers.end(), [&](const Peer& p) {
-    auto it = pledge_until_.find(p.name);
-    return it != pledge_until_.end() && now < it->second;
+    auto it = peer_promises_.find(p.name);
+    return it != peer_promises_.end() && now < it->second;
   });
 }
 
@@ -25,43 +25,44 @@
   return it != owned_.end() && it->second.active && entitled();
 }
 
-// Asked as soon as the state service is silent, so that the pledges are there when the grant
-// can no longer be sure. A pledge counts from the sending of the question.
-void Owner::ask_pledges() {
+// Asked as soon as the state service is silent, so that the promises are there when the grant
+// can no longer be sure. A promise counts from the sending of the question.
+void Owner::request_promises() {
   const Ms now = rt_.now();
   if (owned_.empty() || now - state_store_.last_good() < k::kStateSilentMs ||
-      now - pledge_asked_at_ < k::kPledgeEveryMs)
+      now - promises_requested_at_ < k::kPromiseRequestEveryMs)
     return;
-  pledge_asked_at_ = now;
-  mesh::PledgeAsk a;
-  a.number = ++next_pledge_;
-  a.life = k::kPledgeMs;
+  promises_requested_at_ = now;
+  mesh::PromiseRequest a;
+  a.number = ++next_promise_request_;
+  a.life = k::kPromiseMs;
   a.ledger = state_store_.view().ledger;
   for (const auto& [part, o] : owned_) a.parts.emplace_back(part, o.core->term());
-  pledge_asked_[a.number] = now;
-  while (pledge_asked_.size() > k::kPledgesOpen) pledge_asked_.erase(pledge_asked_.begin());
+  promise_requests_[a.number] = now;
+  while (promise_requests_.size() > k::kPromiseRequestsOpen)
+    promise_requests_.erase(promise_requests_.begin());
   hooks_.broadcast(a);
 }
 
-void Owner::pledged(const std::string& node, const mesh::Pledge& p) {
-  auto asked = pledge_asked_.find(p.number);
-  if (asked == pledge_asked_.end() || !p.given) return;
-  // Guard: our view stands still while pledges keep us acting. What the peer may have told its
+void Owner::take_promise(const std::string& node, const mesh::Promise& p) {
+  auto asked = promise_requests_.find(p.number);
+  if (asked == promise_requests_.end() || !p.given) return;
+  // Guard: our view stands still while promises keep us acting. What the peer may have told its
   // users we must know first: such a job's tasks went on for as long as the state service was down.
   state_store_.take_closed(p.closed);
   const Ms until =
-      asked->second + static_cast<Ms>(k::kPledgeMs * (1 - k::kDrift)) - k::kGrantMarginMs;
-  Ms& held = pledge_until_[node];
+      asked->second + static_cast<Ms>(k::kPromiseMs * (1 - k::kDrift)) - k::kGrantMarginMs;
+  Ms& held = peer_promises_[node];
   held = std::max(held, until);
 }
 
 // We promise only while we do not reach the state service either, and only to the owner that we
 // last saw there. A claim of ours that may still land forbids it. An earlier process of this
 // node had a grant that is ended before we have one, so none of its claims can land any more.
-bool Owner::promises(const std::string& node, const mesh::PledgeAsk& a) const {
+bool Owner::may_promise(const std::string& node, const mesh::PromiseRequest& a) const {
   const View& v = state_store_.view();
   const Ms now = rt_.now();
-  if (!v.ready || state_store_.grant() == 0 || a.life > k::kPledgeMs ||
+  if (!v.ready || state_store_.grant() == 0 || a.life > k::kPromiseMs ||
       now - state_store_.last_good() < k::kStateSilentMs)
     return false;
   for (const auto& [part, stamp] : a.parts) {
@@ -75,14 +76,15 @@
 
 // With the promise goes every end of a job that the asker's view may lack; a node that has not
 // followed for as long as that cannot know them all, and promises nothing.
-mesh::Pledge Owner::pledge(const std::string& node, const mesh::PledgeAsk& a) {
+mesh::Promise Owner::give_promise(const std::string& node, const mesh::PromiseRequest& a) {
   // Guard: a node that the state service refused alone, before the outage, has not seen the claim
   // of the part that it lost. It promised nothing then, and all leases of the part ended.
   for (const auto& [part, stamp] : a.parts) state_store_.take_claim(part, node, stamp);
   auto closed = state_store_.closed_since(a.ledger);
-  if (!closed || !promises(node, a)) return {a.number, false, {}};
+  if (!closed || !may_promise(node, a)) return {a.number, false, {}};
   const Ms until = rt_.now() + static_cast<Ms>(a.life * (1 + k::kDrift));
-  for (const auto& [part, stamp] : a.parts) promised_[part] = std::max(promised_[part], until);
+  for (const auto& [part, stamp] : a.parts)
+    promised_to_peers_[part] = std::max(promised_to_peers_[part], until);
   return {a.number, true, std::move(*closed)};
 }
 
@@ -99,10 +101,10 @@
     }
     const Ms since = vacant_since_.emplace(part, now).first->second;
     // Invariant 6: a promise is kept, also one that an earlier process of this node has given.
-    if (now < promised_[part]) continue;
+    if (now < promised_to_peers_[part]) continue;
     const auto last = last_owner_.find(part);
     const bool ours = last != last_owner_.end() && last->second == s_.node;
-    if (!ours && now - started_ < k::kPledgeMs + k::kGrantMarginMs) continue;
+    if (!ours && now - started_ < k::kPromiseMs + k::kGrantMarginMs) continue;
     const std::string home = s_.home_of(part);
     Ms wait = 0;
     if (home != s_.node)
@@ -186,9 +188,9 @@
   auto it = owned_.find(part);
   if (it == owned_.end()) return;
   spdlog::info("part dropped part={} term={} reason={}", part, it->second.core->term(), reason);
-  auto parked = std::move(it->second.parked);
+  auto deferred = std::move(it->second.deferred);
   owned_.erase(it);
-  for (auto& [id, p] : parked) p.reply(503, "");
+  for (auto& [id, p] : deferred) p.reply(503, "");
 }
 
 void Owner::grant_lost() {
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -7,7 +7,7 @@
 #include <cstdlib>
 #include <iostream>
 
-#include "actors/node.h"
+#include "actors/controller.h"
 #include "actors/settings.h"
 #include "cli/status.h"
 #include "net/loop.h"
@@ -51,20 +51,20 @@
   set_up_log(s.node);
   std::signal(SIGPIPE, SIG_IGN);
   net::Loop loop(s);
-  Node node(loop, s);
+  Controller controller(loop, s);
   std::string error;
   const bool listening =
       loop.listen([&](const std::string& method, const std::string& path, const std::string& body,
-                      Reply reply) { node.request(method, path, body, std::move(reply)); },
-                  [&](const std::string& bytes) { node.frame(bytes); }, error);
+                      Reply reply) { controller.request(method, path, body, std::move(reply)); },
+                  [&](const std::string& bytes) { controller.frame(bytes); }, error);
   if (!listening) {
     spdlog::error("start failed node={} reason=\"{}\"", s.node, error);
     return kExitFailed;
   }
   spdlog::info("start node={} api={} mesh={} boot={}", s.node, s.api_addr, s.mesh_addr,
                loop.boot_id());
-  node.start();
-  loop.every(constants::kTickMs, [&] { node.tick(); });
+  controller.start();
+  loop.every(constants::kTickMs, [&] { controller.tick(); });
   loop.run();
   return 0;
 }
--- a/src/codec/mesh.capnp
+++ b/src/codec/mesh.capnp
@@ -12,8 +12,8 @@
     answer @2 :Answer;
     status @3 :Status;
     move @4 :Move;
-    pledgeAsk @5 :PledgeAsk;
-    pledge @6 :Pledge;
+    promiseRequest @5 :PromiseRequest;
+    promise @6 :Promise;
     gone @7 :Machines;
     shed @8 :Shed;
   }
@@ -55,11 +55,11 @@
   idleMachines @13 :UInt32;
   spotCpus @14 :Float64;
   waitS @15 :Float64;
-  stranded @16 :List(Stranded);   # jobs bound to a place that has too little room for them
+  unplaceable @16 :List(Unplaceable);   # jobs bound to a place that has too little room for them
   waitedS @17 :Float64;
 }
 
-struct Stranded {
+struct Unplaceable {
   job @0 :Text;
   cpus @1 :Float64;
 }
@@ -81,7 +81,7 @@
   machines @0 :List(Text);
 }
 
-struct PledgeAsk {                # not to claim these parts of the sender's for so long
+struct PromiseRequest {                # not to claim these parts of the sender's for so long
   number @0 :UInt64;
   lifeMs @1 :Int64;
   parts @2 :List(OwnedPart);
@@ -93,7 +93,7 @@
   stamp @1 :UInt64;
 }
 
-struct Pledge {
+struct Promise {
   number @0 :UInt64;
   given @1 :Bool;
   closed @2 :List(ClosedJob);     # all jobs that ended after the asker's ledger, as far as known
--- a/src/codec/mesh.cc
+++ b/src/codec/mesh.cc
@@ -62,10 +62,10 @@
       b.setIdleMachines(n.idle_machines);
       b.setSpotCpus(n.spot_cpus);
       b.setWaitedS(n.waited_s);
-      auto stranded = b.initStranded(static_cast<unsigned>(n.stranded.size()));
-      for (unsigned s = 0; s < n.stranded.size(); ++s) {
-        stranded[s].setJob(n.stranded[s].first);
-        stranded[s].setCpus(n.stranded[s].second);
+      auto unplaceable = b.initUnplaceable(static_cast<unsigned>(n.unplaceable.size()));
+      for (unsigned s = 0; s < n.unplaceable.size(); ++s) {
+        unplaceable[s].setJob(n.unplaceable[s].first);
+        unplaceable[s].setCpus(n.unplaceable[s].second);
       }
     }
   }
@@ -85,8 +85,8 @@
     b.setCpus(m.cpus);
     b.setDrain(m.drain);
   }
-  void operator()(const PledgeAsk& m) {
-    auto b = e.initPledgeAsk();
+  void operator()(const PromiseRequest& m) {
+    auto b = e.initPromiseRequest();
     b.setNumber(m.number);
     b.setLifeMs(m.life);
     b.setLedger(m.ledger);
@@ -96,8 +96,8 @@
       list[i].setStamp(m.parts[i].second);
     }
   }
-  void operator()(const Pledge& m) {
-    auto b = e.initPledge();
+  void operator()(const Promise& m) {
+    auto b = e.initPromise();
     b.setNumber(m.number);
     b.setGiven(m.given);
     auto closed = b.initClosed(static_cast<unsigned>(m.closed.size()));
@@ -131,20 +131,20 @@
     n.idle_machines = b.getIdleMachines();
     n.spot_cpus = b.getSpotCpus();
     n.waited_s = b.getWaitedS();
-    for (auto st : b.getStranded()) n.stranded.emplace_back(st.getJob().cStr(), st.getCpus());
+    for (auto st : b.getUnplaceable()) n.unplaceable.emplace_back(st.getJob().cStr(), st.getCpus());
     s.parts.emplace_back(b.getPart(), std::move(n));
   }
   return s;
 }
 
-PledgeAsk read_pledge_ask(wire::PledgeAsk::Reader r) {
-  PledgeAsk a{r.getNumber(), r.getLifeMs(), {}, r.getLedger()};
+PromiseRequest read_promise_request(wire::PromiseRequest::Reader r) {
+  PromiseRequest a{r.getNumber(), r.getLifeMs(), {}, r.getLedger()};
   for (auto p : r.getParts()) a.parts.emplace_back(p.getPart(), p.getStamp());
   return a;
 }
 
-Pledge read_pledge(wire::Pledge::Reader r) {
-  Pledge p{r.getNumber(), r.getGiven(), {}};
+Promise read_promise(wire::Promise::Reader r) {
+  Promise p{r.getNumber(), r.getGiven(), {}};
   for (auto c : r.getClosed())
     p.closed.push_back(
         {c.getJob().cStr(), c.getCancelled() ? JobPhase::cancelled : JobPhase::done, c.getStamp()});
@@ -175,11 +175,11 @@
     case wire::Envelope::SHED:
       m.body = Shed{e.getShed().getPart(), e.getShed().getCpus(), e.getShed().getDrain()};
       break;
-    case wire::Envelope::PLEDGE_ASK:
-      m.body = read_pledge_ask(e.getPledgeAsk());
+    case wire::Envelope::PROMISE_REQUEST:
+      m.body = read_promise_request(e.getPromiseRequest());
       break;
-    case wire::Envelope::PLEDGE:
-      m.body = read_pledge(e.getPledge());
+    case wire::Envelope::PROMISE:
+      m.body = read_promise(e.getPromise());
       break;
   }
   return m;
--- a/src/codec/mesh.h
+++ b/src/codec/mesh.h
@@ -37,19 +37,19 @@
   double cpus = 0;
   bool drain = false;  // also machines with services
 };
-struct PledgeAsk {
+struct PromiseRequest {
   std::uint64_t number = 0;
   Ms life = 0;
   std::vector<std::pair<int, std::uint64_t>> parts;  // the sender's, with their stamps
   std::uint64_t ledger = 0;                          // of the sender's view
 };
-struct Pledge {
+struct Promise {
   std::uint64_t number = 0;
   bool given = false;
   std::vector<ClosedJob> closed;  // all that ended after the asker's ledger
 };
 
-using Body = std::variant<Ask, Answer, Status, Move, PledgeAsk, Pledge, Gone, Shed>;
+using Body = std::variant<Ask, Answer, Status, Move, PromiseRequest, Promise, Gone, Shed>;
 struct Message {
   std::string from;
   Body body;
--- a/src/constants.h
+++ b/src/constants.h
@@ -13,7 +13,7 @@
 // --- clocks -------------------------------------------------------------------------------
 constexpr double kDrift = 0.001;    // share; twice the 0.05% the protocol allows a clock
 constexpr Ms kProofMarginMs = 250;  // ms; timer steps and a slow processor on both sides
-constexpr Ms kTickMs = 50;          // ms; pace of all periodic work, fine enough for parking
+constexpr Ms kTickMs = 50;          // ms; pace of all periodic work, fine enough for deferring
 
 // --- grants, parts ------------------------------------------------------------------------
 constexpr Ms kGrantLifeMs = 5000;       // ms; a dead owner's part is vacant after this
@@ -27,17 +27,17 @@
 constexpr Ms kHandBackAfterMs = 4000;     // ms; a home node must have been up so long
 constexpr Ms kBalanceEveryMs = 1000;      // ms; pace of the leader's advice on machines
 
-constexpr Ms kShedMs = 3000;         // ms; advice to let machines run empty, renewed while it holds
-constexpr Ms kPledgeMs = 3000;       // ms; a peer's promise not to claim; a fresh process waits
-                                     // it out, so it is short
-constexpr Ms kPledgeEveryMs = 500;   // ms; several tries within one pledge
-constexpr Ms kStateSilentMs = 1500;  // ms; without an answer so long, an outage is likely
-constexpr std::size_t kPledgesOpen = 16;  // questions whose sending time is kept
-constexpr Ms kFinishRetryMs = 1000;       // ms; pause before a final commit is tried again
+constexpr Ms kShedMs = 3000;     // ms; advice to let machines run empty, renewed while it holds
+constexpr Ms kPromiseMs = 3000;  // ms; a peer's promise not to claim; a fresh process waits
+                                 // it out, so it is short
+constexpr Ms kPromiseRequestEveryMs = 500;  // ms; several tries within one promise
+constexpr Ms kStateSilentMs = 1500;         // ms; without an answer so long, an outage is likely
+constexpr std::size_t kPromiseRequestsOpen = 16;  // questions whose sending time is kept
+constexpr Ms kFinishRetryMs = 1000;               // ms; pause before a final commit is tried again
 
 // --- workers ------------------------------------------------------------------------------
-constexpr Ms kParkBusyMs = 400;         // ms; under the half second a worker waits between reports
-constexpr Ms kParkIdleMs = 2500;        // ms; longest parking of an idle machine, well under 4 s
+constexpr Ms kDeferBusyMs = 400;        // ms; under the half second a worker waits between reports
+constexpr Ms kDeferIdleMs = 2500;       // ms; longest deferring of an idle machine, well under 4 s
 constexpr Ms kCommandTimeoutMs = 2000;  // ms; kills by /commands; the next report repeats them
 constexpr Ms kWorkerPatienceMs = 4000;  // ms; a worker drops an answer that takes longer; protocol
 constexpr Ms kHoldReportMs = 2000;      // ms; a report waits so long for a new owner: a takeover is
@@ -45,8 +45,8 @@
 constexpr int kInboundLossAnswers =
     3;                           // answers in a row without a trace; one or two are lost by chance
 constexpr int kTermAnswers = 2;  // answers that tell a machine a term which it then does not show
-constexpr Ms kStarvingMs = 120000;  // ms; half of the four minutes in which every job should begin
-constexpr Ms kBegunMs = 35000;      // ms; a start stopped within 30 s of its running does not count
+constexpr Ms kStarvedMs = 120000;  // ms; half of the four minutes in which every job should begin
+constexpr Ms kBegunMs = 35000;     // ms; a start stopped within 30 s of its running does not count
 constexpr int kUnhealthyErrors = 3;  // failures without a success before a machine is quarantined
 constexpr Ms kQuarantineMs = 20000;  // ms; the first quarantine of a machine, the next is doubled
 constexpr Ms kQuarantineMaxMs = 60000;  // ms; the longest, under the 90 s that a job may wait
@@ -91,7 +91,7 @@
 constexpr Ms kDoneBatchMs = 3000;      // ms; finished tasks of a job are written this often
 constexpr std::uint32_t kDoneChunk = 32768;  // tasks; 4 KiB of bits, 5.5 KiB as base64, under 8 KiB
 constexpr std::size_t kFinalCache = 20000;   // finished jobs remembered; older ones are read again
-constexpr std::size_t kClosedKept = 2000;    // jobs that ended, to be handed over with a pledge;
+constexpr std::size_t kClosedKept = 2000;    // jobs that ended, to be handed over with a promise;
                                              // minutes of a busy day, an owner is behind by seconds
 
 // --- users --------------------------------------------------------------------------------
@@ -129,14 +129,14 @@
 constexpr double kDrainAfterS =
     70;                           // s; well under the 90 that a job may wait beside room elsewhere
 constexpr double kShedLeast = 8;  // CPUs; less waiting is not worth a move
-constexpr double kBaseShare = 0.5;        // share of machines dealt out by guarantees alone
-constexpr Ms kFleetEveryMs = 1000;        // ms
-constexpr Ms kStrandedAfterMs = 4000;     // ms; by then all machines that fit have reported
-constexpr std::size_t kStrandedMost = 8;  // jobs; told to the leader at once
-constexpr Ms kNeedLastsMs = 2000;         // ms; a lack of room must last before it is rented for
-constexpr Ms kIdleReturnMs = 10000;       // ms; an idle machine is soon missed nowhere
-constexpr Ms kIdleKeepMs = 180000;        // ms; the same where slack is short beside a boot
-constexpr double kThriftBoots = 1.2;      // times the boot time; slack above it allows thrift
+constexpr double kBaseShare = 0.5;           // share of machines dealt out by guarantees alone
+constexpr Ms kFleetEveryMs = 1000;           // ms
+constexpr Ms kUnplaceableAfterMs = 4000;     // ms; by then all machines that fit have reported
+constexpr std::size_t kUnplaceableMost = 8;  // jobs; told to the leader at once
+constexpr Ms kNeedLastsMs = 2000;            // ms; a lack of room must last before it is rented for
+constexpr Ms kIdleReturnMs = 10000;          // ms; an idle machine is soon missed nowhere
+constexpr Ms kIdleKeepMs = 180000;           // ms; the same where slack is short beside a boot
+constexpr double kCostSavingBoots = 1.2;  // times the boot time; slack above it allows cost saving
 constexpr double kPatience = 1.32;        // share of the slack that a queue may last
 constexpr double kWaitShare = 0.75;       // of a stated wait, taken as slack; the rest is for boots
 constexpr double kEvenMachines = 30.0;    // machines at which that share is half as long
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -56,7 +56,7 @@
   double waited_s = 0;  // the longest that a job of which nothing runs has waited
   // Jobs bound to a zone or to types, and the CPUs that they lack there; room elsewhere is of no
   // use to them. The first few in the order of the queue.
-  std::vector<std::pair<std::string, double>> stranded;
+  std::vector<std::pair<std::string, double>> unplaceable;
 };
 
 class Part {
@@ -115,7 +115,7 @@
   void machine_gone(const std::string& id, Ms now);
 
   // Whether a report of this machine may wait for work, and how long.
-  Ms park_ms(const std::string& machine) const;
+  Ms defer_ms(const std::string& machine) const;
   bool has_waiting();
   // The machines of a list in the order in which they should be asked to take work: those with
   // services first, then the fullest, so that others run empty and can be given away.
@@ -205,7 +205,7 @@
     std::vector<Ms> bounds;  // when it should be complete, the tightest aim first
     int stage = 0;           // aims that it can no longer meet
     bool begun = false;      // a task of it has been on a machine
-    bool starving = false;   // it has waited too long for that: it goes first
+    bool starved = false;    // it has waited too long for that: it goes first
     Ms latest_start = 0;
     Ms waiting_since = 0;  // when the first of its queued tasks began to wait
     // Of a service that waits: whether a machine with its image could take it, and how many
@@ -278,10 +278,10 @@
   std::vector<Machine*> by_emptiness(Ms now, bool spared);
   double unit() const;
   double left(const Machine& m) const;
-  bool thrift() const;
+  bool saves_cost() const;
   Ms keep_ms() const;
   double waiting_cpus() const;
-  double stranded_cpus(const Job& j, Ms now) const;
+  double unplaceable_cpus(const Job& j, Ms now) const;
   void reorder(Ms now);
   int image_number(const std::string& image);
   void forget_images();
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -133,11 +133,11 @@
 }
 
 // Those that will be empty soonest first: one long task holds a machine as much as sixteen. Where
-// thrift pays, spot machines come last.
+// cost saving pays, spot machines come last.
 std::vector<Part::Machine*> Part::by_emptiness(Ms now, bool spared) {
   using Key = std::tuple<bool, Ms, double, std::string>;
   std::vector<std::pair<Key, Machine*>> keyed;
-  const bool by_kind = thrift();
+  const bool by_kind = saves_cost();
   for (auto& [id, m] : machines_)
     if (takes_work(*m, now) && m->spare == spared)
       keyed.emplace_back(Key{by_kind && m->spot, empty_at(*m), m->cpus, id}, m.get());
@@ -193,8 +193,8 @@
   for (int f = 0; f < kFills; ++f) {
     const bool fuller = f > fill(m);
     if (fuller) room += totals_.free[0][f];
-    // Where thrift pays, spot machines are filled before dearer ones.
-    if (j.spec.spot && (fuller || (!m.spot && thrift()))) room += totals_.free[1][f];
+    // Where cost saving pays, spot machines are filled before dearer ones.
+    if (j.spec.spot && (fuller || (!m.spot && saves_cost()))) room += totals_.free[1][f];
   }
   return room;
 }
@@ -270,12 +270,12 @@
   while (j.state[i] != State::queued) ++i;
   j.first_queued = i;
   std::uint64_t attempt = (term_of(m.id) << constants::kAttemptBits) + ++counter_;
-  const bool starved = j.starving;
+  const bool starved = j.starved;
   const Ms fetch = fetch_ms(m, j);
   bind(m, j, i, attempt, TaskPhase::pulling);
   if (starved) {
     m.tasks[{j.spec.id, i}].kept_until = now_ + fetch + constants::kBegunMs;
-    j.starving = false;  // it has begun: the next task takes its turn
+    j.starved = false;  // it has begun: the next task takes its turn
     if (reservation_.job == j.spec.id) reservation_ = {};
   }
   out.push_back({Verb::launch, j.spec.id, i, attempt, 0});
@@ -370,11 +370,10 @@
       if (packs && wanted <= room_on_fuller(m, *j)) break;
       if (j->spec.kind == Kind::array && m.cpus + j->spec.cpus + reserve(m) > m.type->cpus + kEps)
         break;
-      if (within && !j->starving &&
-          team_cpus_[j->team] + j->spec.cpus > teams_[j->team].cpus + kEps)
+      if (within && !j->starved && team_cpus_[j->team] + j->spec.cpus > teams_[j->team].cpus + kEps)
         break;
       m.spare = false;
-      const bool starved = j->starving;
+      const bool starved = j->starved;
       start_one(m, *j, out);
       // One task on trial, also on one that has failed all since it was quarantined.
       if (m.lost_answers > 0 || m.quarantine_ms > 0) return;
@@ -389,14 +388,14 @@
 void Part::reserve_room(Machine& m, const Proof& proof, Ms now) {
   auto job = jobs_.find(reservation_.job);
   auto machine = machines_.find(reservation_.machine);
-  if (job == jobs_.end() || !job->second->starving || job->second->held ||
+  if (job == jobs_.end() || !job->second->starved || job->second->held ||
       machine == machines_.end() || !usable(*machine->second, now))
     reservation_ = {};
   if (!reservation_.machine.empty()) return;
   // By then every machine has reported since it starves.
-  const Ms after = constants::kStarvingMs + limits_.all_reported_ms();
+  const Ms after = constants::kStarvedMs + limits_.all_reported_ms();
   for (Job* j : waiting()) {
-    if (!j->starving || now - j->accepted < after || !may_start(m, *j, proof, now) ||
+    if (!j->starved || now - j->accepted < after || !may_start(m, *j, proof, now) ||
         fits(m, *j, proof.cpus))
       continue;
     if (!fits_beside(m, *j, proof.cpus, m.service_cpus)) continue;
@@ -466,17 +465,17 @@
   return out;
 }
 
-Ms Part::park_ms(const std::string& machine) const {
+Ms Part::defer_ms(const std::string& machine) const {
   auto it = machines_.find(machine);
   if (it == machines_.end()) return 0;
   const Machine& m = *it->second;
   if (!m.proven || m.leaving || !m.type || m.taken_at) return 0;
-  // A parked worker cannot tell of a finished task, so only one whose tasks do not finish by
+  // A deferred worker cannot tell of a finished task, so only one whose tasks do not finish by
   // themselves waits long. The others wait no longer than a worker would between two reports.
   // One that runs services has their images: the next service should find it waiting.
   const bool quiet = m.tasks.empty() || m.service_cpus > 0;
-  return quiet ? std::min(constants::kParkIdleMs, limits_.report_ms * 4 / 5)
-               : constants::kParkBusyMs;
+  return quiet ? std::min(constants::kDeferIdleMs, limits_.report_ms * 4 / 5)
+               : constants::kDeferBusyMs;
 }
 
 }  // namespace eiderreel
--- a/src/core/queue.cc
+++ b/src/core/queue.cc
@@ -11,8 +11,8 @@
 auto urgency(const J& j, Ms later) {
   // Guard: idle-time work starved behind a queue of higher priority that never ended.
   const Priority priority =
-      j.starving ? std::max(j.spec.priority, Priority::standard) : j.spec.priority;
-  return std::tuple(-static_cast<int>(priority), !j.starving, j.stage, j.latest_start + later,
+      j.starved ? std::max(j.spec.priority, Priority::standard) : j.spec.priority;
+  return std::tuple(-static_cast<int>(priority), !j.starved, j.stage, j.latest_start + later,
                     j.stamp);
 }
 
@@ -29,7 +29,7 @@
     const Ms run = static_cast<Ms>(j->spec.estimate_s * 1000) + constants::kStartAllowanceMs;
     j->stage = 0;
     // Guard: whatever its aims, and however many others are more urgent, a job begins in time.
-    j->starving = !j->begun && now - j->accepted >= constants::kStarvingMs;
+    j->starved = !j->begun && now - j->accepted >= constants::kStarvedMs;
     j->latest_start = j->accepted + constants::kUnboundedMs;
     if (j->bounds.empty()) continue;
     const std::size_t n = j->bounds.size();
@@ -118,13 +118,15 @@
 
 // Where the usual slack before a deadline is long beside a boot time, a machine let go costs
 // little: it is there again before a job is late.
-bool Part::thrift() const {
+bool Part::saves_cost() const {
   double boot = 0;
   for (const auto& [name, t] : types_) boot = std::max(boot, t.boot_s);
-  return slack_s_ >= constants::kThriftBoots * boot;
+  return slack_s_ >= constants::kCostSavingBoots * boot;
 }
 
-Ms Part::keep_ms() const { return thrift() ? constants::kIdleReturnMs : constants::kIdleKeepMs; }
+Ms Part::keep_ms() const {
+  return saves_cost() ? constants::kIdleReturnMs : constants::kIdleKeepMs;
+}
 
 double Part::waiting_cpus() const {
   double sum = 0;
@@ -134,9 +136,9 @@
 }
 
 // What a job that is bound to a zone or to types waits for beyond the room on machines that fit.
-double Part::stranded_cpus(const Job& j, Ms now) const {
+double Part::unplaceable_cpus(const Job& j, Ms now) const {
   if ((j.spec.zone.empty() && j.spec.types.empty()) ||
-      now - j.waiting_since < constants::kStrandedAfterMs)
+      now - j.waiting_since < constants::kUnplaceableAfterMs)
     return 0;
   double lack = j.queued * j.spec.cpus;
   for (const auto& [id, m] : machines_)
@@ -164,9 +166,9 @@
     if (j->spec.spot) n.waiting_spot_cpus += want;
     if (j->spec.kind == Kind::service) n.waiting_service_cpus += want;
     n.waiting_core_s += j->queued * j->spec.cpus * j->spec.estimate_s;
-    if (n.stranded.size() < constants::kStrandedMost)
-      if (const double lack = std::min(want, stranded_cpus(*j, now)); lack > 0)
-        n.stranded.emplace_back(j->spec.id, lack);
+    if (n.unplaceable.size() < constants::kUnplaceableMost)
+      if (const double lack = std::min(want, unplaceable_cpus(*j, now)); lack > 0)
+        n.unplaceable.emplace_back(j->spec.id, lack);
   }
   for (const auto& [id, m] : machines_) {
     if (m->gone || !m->reported || !m->type || m->leaving) continue;
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -116,8 +116,8 @@
       mesh::Move{1, -1, 64, true},
       mesh::Gone{{"m-3"}},
       mesh::Shed{1, 24.0, true},
-      mesh::PledgeAsk{4, 3000, {{1, 77}}, 93},
-      mesh::Pledge{4, true, {{"run-1", JobPhase::cancelled, 95}, {"run-2", JobPhase::done, 96}}}};
+      mesh::PromiseRequest{4, 3000, {{1, 77}}, 93},
+      mesh::Promise{4, true, {{"run-1", JobPhase::cancelled, 95}, {"run-2", JobPhase::done, 96}}}};
   for (const auto& b : bodies) {
     auto m = mesh::decode(mesh::encode({"n0", b}));
     ASSERT_TRUE(m);
@@ -150,4 +150,33 @@
   EXPECT_GT(refused, 1000);
 }
 
+std::string from_hex(const std::string& hex) {
+  std::string bytes;
+  for (std::size_t i = 0; i < hex.size(); i += 2)
+    bytes.push_back(static_cast<char>(std::stoi(hex.substr(i, 2), nullptr, 16)));
+  return bytes;
+}
+
+// A rolling restart mixes builds: these bytes were written before the messages had these names.
+TEST(Mesh, ReadsAndWritesWhatEarlierBuildsWrote) {
+  const mesh::PromiseRequest request{4, 3000, {{1, 77}}, 93};
+  const mesh::Promise promise{4, true, {{"run-1", JobPhase::cancelled, 95}}};
+  const std::string request_bytes = from_hex(
+      "000000000c00000000000000010002000400000000000000050000001a0000000400000003000100"
+      "6e300000000000000400000000000000b80b0000000000005d000000000000000100000017000000"
+      "040000000200000001000000000000004d00000000000000");
+  const std::string promise_bytes = from_hex(
+      "000000000d00000000000000010002000500000000000000050000001a0000000400000002000100"
+      "6e3000000000000004000000000000000100000000000000010000001f0000000400000002000100"
+      "5f000000000000000100000000000000010000003200000072756e2d31000000");
+  EXPECT_EQ(mesh::encode({"n0", request}), request_bytes);
+  EXPECT_EQ(mesh::encode({"n0", promise}), promise_bytes);
+  const auto read_request = mesh::decode(request_bytes);
+  ASSERT_TRUE(read_request);
+  EXPECT_EQ(std::get<mesh::PromiseRequest>(read_request->body).parts, request.parts);
+  const auto read_promise = mesh::decode(promise_bytes);
+  ASSERT_TRUE(read_promise);
+  EXPECT_EQ(std::get<mesh::Promise>(read_promise->body).closed.at(0).id, "run-1");
+}
+
 }  // namespace
--- a/tests/part_test.cc
+++ b/tests/part_test.cc
@@ -457,7 +457,7 @@
   JobSpec large = job("run-1", 40);
   large.estimate_s = 1000;
   large.deadline_s = 5000;
-  part.open_job(large, 11, false, {}, constants::kStarvingMs + 1000);
+  part.open_job(large, 11, false, {}, constants::kStarvedMs + 1000);
   JobSpec tight = job("run-2", 40);
   tight.estimate_s = 5;
   tight.deadline_s = 10;
--- a/tests/standin/world.cc
+++ b/tests/standin/world.cc
@@ -278,7 +278,7 @@
 
 // Invariant 6: a report is answered with 200 only by an owner whose lease is alive, or who has the
 // promises of all peers.
-void World::check_entitled(const Node& node, const std::string& report) {
+void World::check_entitled(const Controller& node, const std::string& report) {
   Document d;
   d.Parse(report.c_str());
   const std::string machine = d["host"].GetString();
@@ -293,7 +293,7 @@
   Proc& p = procs_[i];
   ++p.life;
   p.runtime = std::make_unique<NodeRuntime>(*this, i, p.life);
-  p.node = std::make_unique<Node>(*p.runtime, p.settings);
+  p.node = std::make_unique<Controller>(*p.runtime, p.settings);
   p.up = true;
   sink()->node = p.name;
   note(p.name + " starts");
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-#include "actors/node.h"
+#include "actors/controller.h"
 #include "standin/checker.h"
 #include "standin/state_service.h"
 
@@ -102,7 +102,7 @@
   // --- what came of it ---
   Checker& checker() { return checker_; }
   const std::vector<std::string>& trace() const { return trace_; }
-  Node* node(int i) { return procs_[static_cast<std::size_t>(i)].node.get(); }
+  Controller* node(int i) { return procs_[static_cast<std::size_t>(i)].node.get(); }
   int owner_of(int part) const;
   std::size_t tasks_on(const std::string& job) const;
   std::vector<std::string> machines_of(const std::string& job) const;
@@ -140,7 +140,7 @@
     std::string name;
     Settings settings;
     std::unique_ptr<NodeRuntime> runtime;
-    std::unique_ptr<Node> node;
+    std::unique_ptr<Controller> node;
     std::uint64_t life = 0;
     bool up = false;
     Ms frozen_until = 0;
@@ -178,7 +178,7 @@
   void serve_worker(Worker& w, const HttpRequest& r, Done done);
   double chance();
   void look_for_room();
-  void check_entitled(const Node& node, const std::string& report);
+  void check_entitled(const Controller& node, const std::string& report);
   void start_node(std::size_t i);
   void when_awake(std::size_t i, std::function<void()> f);
   void tick_workers();
--- a/tests/trace_test.cc
+++ b/tests/trace_test.cc
@@ -458,7 +458,7 @@
   }
 }
 
-// Processes back within a fraction of a second: while a part is claimed, while pledges are out,
+// Processes back within a fraction of a second: while a part is claimed, while promises are out,
 // while a part is handed back; late copies of reports follow.
 TEST_F(Trace, ProcessesAreBackInMidElection) {
   World w({});
