--- a/src/actors/state_store_client.cc
+++ b/src/actors/state_store_client.cc
@@ -3,7 +3,6 @@
 #include <spdlog/spdlog.h>
 
 #include <array>
-#include <cmath>
 #include <memory>
 
 namespace eiderreel {
@@ -22,19 +21,12 @@
 
 }  // namespace
 
-StateStoreClient::StateStoreClient(Runtime& rt, const Settings& s) : rt_(rt), s_(s) {
-  const double nodes = static_cast<double>(s.peers.size() + 1);
-  auto set = [&](Budget& b, double rate) {
-    b.total = rate * k::kBudgetShare;
-    b.even = b.rate = b.tokens = b.total / nodes;
-  };
-  set(requests_, s.state_rps);
-  set(changes_, s.state_write_rps);
-}
+StateStoreClient::StateStoreClient(Runtime& rt, const Settings& s)
+    : rt_(rt), s_(s), rate_limiter_(s) {}
 
 void StateStoreClient::start(Events events) {
   events_ = std::move(events);
-  refilled_ = rt_.now();
+  rate_limiter_.start(rt_.now());
   begin_follow();
 }
 
@@ -42,39 +34,10 @@
   return s_.node + "." + rt_.boot_id() + "." + std::to_string(++nonce_counter_);
 }
 
-// ------------------------------------------------------------------------------ budgets
-
-void StateStoreClient::Budget::refill(double dt, double spare) {
-  rate = even + spare;
-  tokens = std::min(rate, tokens + dt * rate);
-  used *= std::exp(-dt * 1000.0 / k::kUseMs);
-}
-
-void StateStoreClient::Budget::take(double n) {
-  tokens -= n;
-  used += n * 1000.0 / k::kUseMs;
-}
-
-BudgetUse StateStoreClient::use() const { return {requests_.used, changes_.used}; }
+// ----------------------------------------------------------------------------- requests
 
 void StateStoreClient::peer_use(const std::string& node, const BudgetUse& use) {
-  peer_use_[node] = {rt_.now(), use};
-}
-
-// A node that is not heard of may use all of its part. Of what the others leave, an even share is
-// ours: so two that are in need together do not both take the whole.
-void StateStoreClient::refill() {
-  const Ms now = rt_.now();
-  const double dt = static_cast<double>(now - refilled_) / 1000.0;
-  refilled_ = now;
-  BudgetUse spare;
-  for (const auto& [node, p] : peer_use_) {
-    if (now - p.at >= k::kStatusStaleMs) continue;
-    spare.requests += std::max(0.0, requests_.even - p.use.requests);
-    spare.changes += std::max(0.0, changes_.even - p.use.changes);
-  }
-  requests_.refill(dt, spare.requests * k::kSpareShare);
-  changes_.refill(dt, spare.changes * k::kSpareShare);
+  rate_limiter_.set_peer_use(node, use, rt_.now());
 }
 
 void StateStoreClient::submit(Pending p) {
@@ -97,22 +60,9 @@
   pump();
 }
 
-// Users may run into debt up to what the others would have to leave unused: their changes are few,
-// and a refusal by the state service itself costs one more try.
-bool StateStoreClient::affordable(const Pending& p) const {
-  if (p.pace == Pace::urgent) return true;
-  const double debt = p.pace == Pace::user ? 1 : 0;
-  if (requests_.tokens - 1 < -debt * (requests_.total - requests_.even)) return false;
-  if (p.writes == 0) return true;
-  const double want = std::min<double>(p.writes, changes_.rate - 0.5);
-  const double keep = p.pace == Pace::progress ? changes_.even * k::kProgressKeep : 0;
-  return changes_.tokens - want - std::min(keep, changes_.rate - 0.5 - want) >=
-         -debt * (changes_.total - changes_.even);
-}
-
 void StateStoreClient::pump() {
-  refill();
   const Ms now = rt_.now();
+  rate_limiter_.refill(now);
   while (!queue_.empty()) {
     Pending& front = queue_.front();
     if (front.expires <= now && front.pace != Pace::urgent) {
@@ -123,9 +73,8 @@
       rt_.after(0, [done = std::move(done)] { done({429, ""}); });
       continue;
     }
-    if (!affordable(front)) return;
-    requests_.take(1);
-    changes_.take(front.writes);
+    if (!rate_limiter_.allows(front.pace, front.writes)) return;
+    rate_limiter_.take(front.writes);
     auto sent = std::make_shared<Pending>(std::move(front));
     queue_.pop_front();
     ++in_flight_;
@@ -320,7 +269,8 @@
 
 // Following takes no more than a part of the requests, however busy the keys are.
 Ms StateStoreClient::follow_pause() const {
-  return std::max(k::kFollowPauseMs, static_cast<Ms>(1000.0 / (requests_.even * k::kFollowShare)));
+  return std::max(k::kFollowPauseMs,
+                  static_cast<Ms>(1000.0 / (rate_limiter_.even_requests() * k::kFollowShare)));
 }
 
 void StateStoreClient::announce_seen() {
--- a/src/actors/state_store_client.h
+++ b/src/actors/state_store_client.h
@@ -1,5 +1,5 @@
 // The state store client: all dealings with the state service. It owns this node's grant, the view
-// that follows every key under `e/`, and the node's part of the request and write budgets.
+// that follows every key under `e/`, and the requests that wait for the rate limiter.
 #pragma once
 #include <deque>
 #include <functional>
@@ -10,6 +10,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "actors/rate_limiter.h"
 #include "actors/runtime.h"
 #include "actors/settings.h"
 #include "codec/json.h"
@@ -54,10 +55,6 @@
   unknown,     // it may have been done, or may still be
 };
 
-// What goes first when the budget of the state service is short. Users and what they are told come
-// before machines, and machines before progress, which is written as often as the rest allows.
-enum class Pace { urgent, user, fleet, progress };
-
 struct Commit {
   std::vector<codec::Guard> guards;
   std::vector<codec::Write> writes;  // the first one puts a value with the nonce of this commit
@@ -108,7 +105,7 @@
   // A peer has claimed a part after all changes that our view has.
   void take_claim(int part, const std::string& owner, std::uint64_t stamp);
   // What this node takes of the budgets, for its peers; and what a peer has said that it takes.
-  BudgetUse use() const;
+  BudgetUse use() const { return rate_limiter_.use(); }
   void peer_use(const std::string& node, const BudgetUse& use);
   const Counters& counters() const { return counters_; }
   std::size_t pending() const { return queue_.size(); }
@@ -123,8 +120,6 @@
   };
   void submit(Pending p);
   void enqueue(Pending p);
-  bool affordable(const Pending& p) const;
-  void refill();
   void pump();
   Ms follow_pause() const;
   void get_grant();
@@ -155,20 +150,7 @@
   std::uint64_t follow_since_ = 0;
   std::set<std::string> loaded_;  // keys met while listing anew
   std::deque<Pending> queue_;
-  // A budget of the state service that the nodes share: an even part for each, and what the others
-  // say that they leave of theirs.
-  struct Budget {
-    double total = 0, even = 0, rate = 0, tokens = 0, used = 0;
-    void refill(double dt, double spare);
-    void take(double n);
-  };
-  Budget requests_, changes_;
-  struct PeerUse {
-    Ms at = 0;
-    BudgetUse use;
-  };
-  std::map<std::string, PeerUse> peer_use_;
-  Ms refilled_ = 0;
+  RateLimiter rate_limiter_;
   int in_flight_ = 0;
   std::uint64_t nonce_counter_ = 0;
   std::multimap<std::uint64_t, std::function<void()>> waiting_;
