--- a/src/actors/fleet.cc
+++ b/src/actors/fleet.cc
@@ -10,12 +10,17 @@
 namespace k = constants;
 
 Fleet::Fleet(Runtime& rt, const Settings& s, StateStoreClient& state_store, Owner& owner)
-    : rt_(rt), s_(s), state_store_(state_store), owner_(owner) {}
+    : rt_(rt),
+      s_(s),
+      state_store_(state_store),
+      owner_(owner),
+      cloud_(rt, s),
+      assigner_(s, state_store, owner) {}
 
 void Fleet::start(Hooks hooks) {
   hooks_ = std::move(hooks);
-  refilled_ = rt_.now();
-  tokens_ = s_.cloud_rps / 2;
+  cloud_.start();
+  assigner_.start([this](const std::string& machine) { rented_.erase(machine); });
   get_catalog();
 }
 
@@ -25,154 +30,25 @@
   return nullptr;
 }
 
-// Calls over the budget are refused here as the cloud would; their callers try again.
-void Fleet::call(HttpRequest r, std::function<void(HttpReply)> done) {
-  const Ms now = rt_.now();
-  tokens_ = std::min(s_.cloud_rps, tokens_ + static_cast<double>(now - refilled_) / 1000.0 *
-                                                 s_.cloud_rps * k::kBudgetShare);
-  refilled_ = now;
-  if (tokens_ < 1) {
-    rt_.after(k::kRetryMs, [done = std::move(done)] { done({429, ""}); });
-    return;
-  }
-  tokens_ -= 1;
-  r.addr = s_.cloud_addr;
-  r.timeout = k::kCloudTimeoutMs;
-  rt_.http(std::move(r), [this, done = std::move(done)](HttpReply reply) {
-    ++counters_.replies[reply.status];
-    done(std::move(reply));
-  });
-}
-
 void Fleet::get_catalog() {
   catalog_asked_ = true;
-  call({"", "GET", "/catalog", "", 0}, [this](HttpReply r) {
+  cloud_.call({"", "GET", "/catalog", "", 0}, [this](HttpReply r) {
     catalog_asked_ = false;
     catalog_at_ = rt_.now();
     auto types = r.status == 200 ? codec::parse_catalog(r.body) : std::nullopt;
     if (!types) return;
     types_ = *types;
+    assigner_.types_known(types_);
     hooks_.types_known(types_);
   });
 }
 
 // --------------------------------------------------------------------------- assignment
 
-double Fleet::weight(int part) const {
-  double w = 0;
-  for (const auto& t : s_.teams_of(part)) w += t.cpus;
-  return std::max(w, 1.0);
-}
-
-// What each part has and asks for, of ordinary and of spot machines.
-std::vector<Fleet::Deal> Fleet::deals() const {
-  std::vector<Deal> out(static_cast<std::size_t>(s_.parts));
-  auto add = [&](const codec::MachineRecord& r) {
-    const MachineType* t = type(r.type);
-    if (r.part < 0 || r.part >= s_.parts || !t) return;
-    Deal& d = out[static_cast<std::size_t>(r.part)];
-    d.cpus[1] += t->cpus;
-    if (!r.spot) d.cpus[0] += t->cpus;
-  };
-  for (const auto& [id, m] : state_store_.view().machines) add(m.record);
-  for (const auto& [id, a] : assigning_)
-    if (a.sent) add(a.record);
-  const auto needs = owner_.needs();
-  for (int p = 0; p < s_.parts; ++p) {
-    Deal& d = out[static_cast<std::size_t>(p)];
-    d.weight = weight(p);
-    auto it = needs.find(p);
-    if (it == needs.end()) continue;
-    const PartNeed& n = it->second;
-    d.asked[0] = (n.used_service_cpus + n.waiting_service_cpus) * k::kServiceRoom + n.waiting_cpus -
-                 n.waiting_spot_cpus;
-    d.asked[1] = n.used_cpus + n.waiting_cpus;
-  }
-  return out;
-}
-
-// A new machine goes where most is asked for what is there. Ordinary machines are dealt out by
-// what cannot run on spot ones, above all services; the guarantees count as a base, so that no
-// part is left bare.
-int Fleet::part_for(std::vector<Deal>& deals, double cpus, bool spot) {
-  double all_weights = 0, all_cpus = cpus;
-  for (const Deal& d : deals) {
-    all_weights += d.weight;
-    all_cpus += d.cpus[spot];
-  }
-  std::size_t best = 0;
-  double best_ratio = -1;
-  for (std::size_t p = 0; p < deals.size(); ++p) {
-    const Deal& d = deals[p];
-    const double base = k::kBaseShare * all_cpus * d.weight / all_weights;
-    const double ratio = (d.asked[spot] + base) / (d.cpus[spot] + cpus);
-    if (ratio <= best_ratio) continue;
-    best = p;
-    best_ratio = ratio;
-  }
-  deals[best].cpus[1] += cpus;
-  if (!spot) deals[best].cpus[0] += cpus;
-  return static_cast<int>(best);
-}
-
 void Fleet::assign(const Report& r, Reply reply) {
   // Guard: a late copy of a report is no reason to assign a machine that is gone.
   if (types_.empty() || gone_.count(r.machine)) return reply(503, "");
-  auto [it, fresh] = assigning_.try_emplace(r.machine);
-  Reply old = std::exchange(it->second.reply, std::move(reply));
-  it->second.report = r;
-  if (!fresh) old(503, "");
-}
-
-// Machines that come up together are dealt out together, many in a transaction.
-void Fleet::assign_all() {
-  std::vector<std::string> batch;
-  std::vector<Deal> dealt;
-  for (auto& [id, a] : assigning_) {
-    if (a.sent) continue;
-    if (dealt.empty()) dealt = deals();
-    const Report& r = a.report;
-    const MachineType* t = type(r.type);
-    a.record = {part_for(dealt, t ? t->cpus : 1, r.spot), r.type, r.zone, r.addr, r.spot};
-    a.sent = true;
-    batch.push_back(id);
-    if (static_cast<int>(batch.size()) < s_.batch()) continue;
-    send_assignments(std::move(batch));
-    batch.clear();
-  }
-  if (!batch.empty()) send_assignments(std::move(batch));
-}
-
-void Fleet::send_assignments(std::vector<std::string> ids) {
-  Commit c;
-  c.pace = Pace::fleet;
-  c.nonce = state_store_.nonce();
-  for (const auto& id : ids) {
-    c.guards.push_back({codec::machine_key(id), 0});
-    c.writes.push_back(
-        {codec::machine_key(id), codec::encode(assigning_.at(id).record, c.nonce), false});
-  }
-  c.done = [this, ids](Outcome o, std::uint64_t) {
-    // One that was assigned before holds up the others: each goes alone then.
-    if ((o == Outcome::conflict || o == Outcome::superseded) && ids.size() > 1) {
-      for (const auto& id : ids) send_assignments({id});
-      return;
-    }
-    for (const auto& id : ids) {
-      auto it = assigning_.find(id);
-      Assigning a = std::move(it->second);
-      assigning_.erase(it);
-      rented_.erase(id);
-      if (o != Outcome::ok) {
-        a.reply(503, "");
-        continue;
-      }
-      spdlog::info("machine assigned machine={} part={} type={} zone={} spot={}", id, a.record.part,
-                   a.record.type, a.record.zone, a.record.spot);
-      owner_.report(a.report, std::move(a.reply));
-    }
-  };
-  state_store_.commit(std::move(c));
+  assigner_.add(r, std::move(reply));
 }
 
 // ------------------------------------------------------------------------------ balance
@@ -256,10 +132,10 @@
   double cpus = 0, weights = 0;
   for (const auto& [p, n] : needs) {
     cpus += n.total_cpus;
-    weights += weight(p);
+    weights += guaranteed_cpus(s_, p);
   }
   auto above = [&](int p) {
-    return needs.at(p).total_cpus - k::kBaseShare * cpus * weight(p) / weights;
+    return needs.at(p).total_cpus - k::kBaseShare * cpus * guaranteed_cpus(s_, p) / weights;
   };
   for (const auto& [to, need] : needs) {
     if (need.waiting_cpus <= 0 || above(to) >= 0) continue;
@@ -457,26 +333,26 @@
 
 void Fleet::send_charter(const MachineType& t, const std::string& zone, bool spot, int count,
                          const std::string& charter, int tries) {
-  call({"", "POST", "/machines", codec::rent_body(charter, t.name, zone, spot, count), 0},
-       [=, this, t = t](HttpReply r) {
-         if (r.status == 200) {
-           auto ids = codec::parse_rented(r.body).value_or(std::vector<std::string>{});
-           for (const auto& id : ids) rented_[id] = {t.name, zone, spot, rt_.now()};
-           counters_.rented += ids.size();
-           spdlog::info("machines rented charter={} type={} zone={} spot={} asked={} got={}",
-                        charter, t.name, zone, spot, count, ids.size());
-           if (static_cast<int>(ids.size()) < count)
-             refused_[slot(t, zone, spot)] = rt_.now() + k::kNoCapacityPauseMs;
-         } else if (r.status == 503 || r.status == 400) {
-           refused_[slot(t, zone, spot)] = rt_.now() + k::kNoCapacityPauseMs;
-         } else if (tries > 1) {
-           // Without an answer the same charter is asked again: it rents once at most.
-           rt_.after(k::kRetryMs,
-                     [=, this] { send_charter(t, zone, spot, count, charter, tries - 1); });
-           return;
-         }
-         renting_.erase(slot(t, zone, spot));
-       });
+  cloud_.call({"", "POST", "/machines", codec::rent_body(charter, t.name, zone, spot, count), 0},
+              [=, this, t = t](HttpReply r) {
+                if (r.status == 200) {
+                  auto ids = codec::parse_rented(r.body).value_or(std::vector<std::string>{});
+                  for (const auto& id : ids) rented_[id] = {t.name, zone, spot, rt_.now()};
+                  counters_.rented += ids.size();
+                  spdlog::info("machines rented charter={} type={} zone={} spot={} asked={} got={}",
+                               charter, t.name, zone, spot, count, ids.size());
+                  if (static_cast<int>(ids.size()) < count)
+                    refused_[slot(t, zone, spot)] = rt_.now() + k::kNoCapacityPauseMs;
+                } else if (r.status == 503 || r.status == 400) {
+                  refused_[slot(t, zone, spot)] = rt_.now() + k::kNoCapacityPauseMs;
+                } else if (tries > 1) {
+                  // Without an answer the same charter is asked again: it rents once at most.
+                  rt_.after(k::kRetryMs,
+                            [=, this] { send_charter(t, zone, spot, count, charter, tries - 1); });
+                  return;
+                }
+                renting_.erase(slot(t, zone, spot));
+              });
 }
 
 void Fleet::list(const std::string& since) {
@@ -487,7 +363,7 @@
     in_list_.clear();
     list_sent_ = rt_.now();
   }
-  call({"", "GET", path, "", 0}, [this](HttpReply r) {
+  cloud_.call({"", "GET", path, "", 0}, [this](HttpReply r) {
     auto page = r.status == 200 ? codec::parse_machines(r.body) : std::nullopt;
     if (!page) {
       listing_ = false;
@@ -611,17 +487,18 @@
   forget(again);
   if (ids.empty()) return;
   returning_ = true;
-  call({"", "POST", "/machines/return", codec::return_body(ids), 0}, [this, ids](HttpReply r) {
-    returning_ = false;
-    if (r.status != 200) return;
-    counters_.returned += ids.size();
-    hooks_.machines_gone(ids);
-    for (const auto& id : ids) {
-      spdlog::info("machine returned machine={}", id);
-      rented_.erase(id);
-    }
-    forget(ids);
-  });
+  cloud_.call({"", "POST", "/machines/return", codec::return_body(ids), 0},
+              [this, ids](HttpReply r) {
+                returning_ = false;
+                if (r.status != 200) return;
+                counters_.returned += ids.size();
+                hooks_.machines_gone(ids);
+                for (const auto& id : ids) {
+                  spdlog::info("machine returned machine={}", id);
+                  rented_.erase(id);
+                }
+                forget(ids);
+              });
 }
 
 void Fleet::tick() {
@@ -639,7 +516,7 @@
     rented_.clear();
     known_.clear();
   }
-  assign_all();
+  assigner_.assign_all();
   if (!listing_ && now - listed_at_ >= k::kListEveryMs) list("");
   if (now - balanced_at_ >= k::kBalanceEveryMs) {
     balanced_at_ = now;
--- a/src/actors/fleet.h
+++ b/src/actors/fleet.h
@@ -1,10 +1,12 @@
-// The fleet: machines of the cloud. Only the leader acts, the owner of part 0: it assigns new
-// machines to parts, advises moves of idle ones, rents and returns. Every node reads the catalog.
+// The fleet: machines of the cloud. Only the leader acts, the owner of part 0: it has new machines
+// assigned to parts, advises moves of idle ones, rents and returns. Every node reads the catalog.
 #pragma once
 #include <map>
 #include <set>
 #include <string>
 
+#include "actors/cloud_client.h"
+#include "actors/machine_assigner.h"
 #include "actors/owner.h"
 #include "actors/state_store_client.h"
 
@@ -18,7 +20,6 @@
     std::function<void(const std::vector<std::string>&)> machines_gone;  // here and at peers
   };
   struct Counters {
-    std::map<int, std::uint64_t> replies;  // by status
     std::uint64_t rented = 0, returned = 0, moves = 0;
   };
 
@@ -27,21 +28,13 @@
   void tick();
   void assign(const Report& r, Reply reply);  // an unknown machine has reported to us, the leader
   const Counters& counters() const { return counters_; }
+  const CloudClient& cloud() const { return cloud_; }
 
  private:
   struct Known {  // a machine as the cloud last listed it
     codec::ListedMachine listed;
     Ms last_seen = 0;
   };
-  struct Assigning {
-    Reply reply;
-    Report report;
-    codec::MachineRecord record;
-    bool sent = false;  // its commit is on its way
-  };
-  struct Deal {  // what a part has and asks for; index 0: ordinary machines, 1: all
-    double weight = 0, cpus[2] = {0, 0}, asked[2] = {0, 0};
-  };
   struct Coming {  // a machine that is rented and not in use yet
     const MachineType* type = nullptr;
     std::string zone;
@@ -69,12 +62,6 @@
   void release(const std::string& id, const codec::MachineRecord& record, std::uint64_t stamp);
   void return_released();
   void forget(const std::vector<std::string>& ids);
-  void call(HttpRequest r, std::function<void(HttpReply)> done);
-  double weight(int part) const;
-  std::vector<Deal> deals() const;
-  static int part_for(std::vector<Deal>& deals, double cpus, bool spot);
-  void assign_all();
-  void send_assignments(std::vector<std::string> ids);
   const MachineType* type(const std::string& name) const;
   void advise(int from, int to, double cpus, bool spot);
   void shed(int from, double cpus, bool drain);
@@ -85,20 +72,19 @@
   const Settings& s_;
   StateStoreClient& state_store_;
   Owner& owner_;
+  CloudClient cloud_;
+  MachineAssigner assigner_;
   Hooks hooks_;
   std::vector<MachineType> types_;
   bool catalog_asked_ = false, listing_ = false, returning_ = false;
   Ms catalog_at_ = 0, listed_at_ = 0, list_sent_ = 0, balanced_at_ = 0, scaled_at_ = 0,
      short_since_ = 0;
-  double tokens_ = 0;
-  Ms refilled_ = 0;
   bool was_leading_ = false;
   Ms leading_since_ = 0;
   std::set<std::string> in_list_;
   std::set<std::string> gone_;  // machines that are surely gone; names are never used again
   std::map<std::string, Known> known_;
   std::map<std::string, Rented> rented_;
-  std::map<std::string, Assigning> assigning_;
   std::map<std::string, Ms> refused_;  // type/zone/kind -> when to ask again
   std::set<std::string> changing_;     // machine keys with a commit on its way
   std::set<std::string> renting_;      // type/zone/kind with a request on its way
--- a/src/actors/metrics.cc
+++ b/src/actors/metrics.cc
@@ -123,7 +123,8 @@
               controller.state_store().counters().replies);
   counter("state_refused_here_total", "requests over our own share of the state service's limits",
           controller.state_store().counters().refused_here);
-  t.by_status("cloud_requests_total", "requests to the cloud by status, 0: no answer", f.replies);
+  t.by_status("cloud_requests_total", "requests to the cloud by status, 0: no answer",
+              controller.fleet().cloud().replies());
   const auto& d = controller.job_api().counters();
   t.by_status("user_requests_total", "answers to users by kind and status", d.submits,
               "kind=\"submit\"");
