--- a/tests/cancellation_test.cc
+++ b/tests/cancellation_test.cc
@@ -1,8 +1,6 @@
 // Cancellations under faults: whatever happens to controllers, machines and messages, the tasks of
 // a cancelled job are gone within the time the protocol allows.
-#include <gtest/gtest.h>
-
-#include "standin/world.h"
+#include "standin/expectations.h"
 
 using namespace eiderreel;
 using namespace eiderreel::standin;
@@ -19,8 +17,6 @@
   return o;
 }
 
-std::string address(const std::string& machine) { return "w-" + machine; }
-
 class CancelledWhileMachinesAreCutOff : public testing::TestWithParam<std::uint64_t> {
  public:
   static constexpr double kCancelled = 30;
@@ -62,7 +58,7 @@
   w.run_until(kCancelled + 60);
   EXPECT_GE(cut_off, 2u);
   EXPECT_EQ(w.tasks_on("run-1"), 0u);
-  for (const auto& rule : w.checker().broken()) ADD_FAILURE() << "rule broken: " << rule;
+  expect_rules_kept(w);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, CancelledWhileMachinesAreCutOff, testing::Values(1, 2, 3));
@@ -81,7 +77,7 @@
     w.at(at + 3.89, [&] { met += !w.node(1)->owner().acting(1); });
     w.run_until(60);
     for (const char* id : {"run-1", "run-2", "run-3"}) EXPECT_EQ(w.phase(id), "done");
-    for (const auto& rule : w.checker().broken()) ADD_FAILURE() << at << " rule broken: " << rule;
+    expect_rules_kept(w, std::to_string(at));
   }
   EXPECT_GE(met, 5u);
 }
@@ -103,7 +99,7 @@
       w.at(t, [&w] { w.poll_once(0, "run-1", [](int, const std::string&) {}); });
     w.run_until(40);
     EXPECT_EQ(w.phase("run-1"), "cancelled");
-    for (const auto& rule : w.checker().broken()) ADD_FAILURE() << seed << " rule broken: " << rule;
+    expect_rules_kept(w, std::to_string(seed));
   }
 }
 
--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -1,21 +1,14 @@
 // Days on which two troubles meet. Each brings its meeting about for several seeds and offsets,
 // asserts that it was reached, and then that no rule was broken.
-#include <gtest/gtest.h>
-
 #include <array>
 
-#include "standin/world.h"
+#include "standin/expectations.h"
 
 using namespace eiderreel;
 using namespace eiderreel::standin;
 
 namespace {
 
-void expect_rules_kept(World& w) {
-  for (const auto& b : w.checker().broken()) ADD_FAILURE() << "rule broken: " << b;
-  EXPECT_GT(w.checker().starts(), 0u);
-}
-
 // ------------------------------------------------------------------------------- the gap
 // The state service refuses the leading controller alone; what it committed last has landed
 // without an answer, and another controller tells users so. Then the state service is down for all,
@@ -155,11 +148,6 @@
 
 INSTANTIATE_TEST_SUITE_P(Offsets, GapTest, testing::ValuesIn(gaps()));
 
-std::string machine(int n) {
-  std::string digits = std::to_string(n);
-  return "m-" + std::string(6 - digits.size(), '0') + digits;
-}
-
 // A service and a short array of each team.
 void short_load(World& w) {
   w.at(5, [&w] {
@@ -440,7 +428,7 @@
 
 std::set<std::string> workers(int first, int step, int most = 40) {
   std::set<std::string> out;
-  for (int i = first; i < most; i += step) out.insert("w-" + machine(i));
+  for (int i = first; i < most; i += step) out.insert(address(machine(i)));
   return out;
 }
 
--- a/tests/random_days_test.cc
+++ b/tests/random_days_test.cc
@@ -6,13 +6,11 @@
 //
 // A day that breaks a rule is told by its number; EIDERREEL_DAYS=N-N plays it again, and with
 // EIDERREEL_TRACE=1 tells what happened.
-#include <gtest/gtest.h>
-
 #include <array>
 #include <cstdio>
 #include <cstdlib>
 
-#include "standin/world.h"
+#include "standin/expectations.h"
 
 using namespace eiderreel;
 using namespace eiderreel::standin;
@@ -59,8 +57,7 @@
 
   std::vector<std::string> some_machines() {
     std::vector<std::string> out;
-    for (int n = 1 + pick(kMachines / 2); n > 0; --n)
-      out.push_back("m-00000" + std::to_string(pick(kMachines)));
+    for (int n = 1 + pick(kMachines / 2); n > 0; --n) out.push_back(machine(pick(kMachines)));
     return out;
   }
 
@@ -129,7 +126,7 @@
         std::array{3.0, lease_s_ - 2, lease_s_ + 3}[static_cast<std::size_t>(pick(3))];
     auto set = [this, machines](void (World::*trouble)(const std::string&, bool), bool on) {
       return [this, machines, trouble, on] {
-        for (const auto& machine : machines) (world_.*trouble)(machine, on);
+        for (const auto& name : machines) (world_.*trouble)(name, on);
       };
     };
     const std::array kinds = {&World::freeze_machine, &World::deafen, &World::mute};
@@ -167,7 +164,7 @@
     const CutMode mode = likely(0.5) ? CutMode::hold : CutMode::reset;
     const double for_s = number_in(3, lease_s_ + 5);
     std::set<std::string> workers;
-    for (const auto& machine : some_machines()) workers.insert("w-" + machine);
+    for (const auto& name : some_machines()) workers.insert(address(name));
     auto cut = [=, this](std::set<std::string> a, std::set<std::string> b) {
       during(
           t, for_s, [=, this] { world_.cut(a, b, mode); }, [this] { world_.heal(); });
@@ -203,10 +200,9 @@
     for (int n = 0; n < 3; ++n) world_.state_refuses(n, false);
     world_.troubles_over();
     for (int i = 0; i < kMachines; ++i) {
-      const std::string machine = "m-00000" + std::to_string(i);
-      world_.freeze_machine(machine, false);
-      world_.deafen(machine, false);
-      world_.mute(machine, false);
+      world_.freeze_machine(machine(i), false);
+      world_.deafen(machine(i), false);
+      world_.mute(machine(i), false);
     }
   }
 
@@ -232,8 +228,7 @@
     day.play();
     EXPECT_GT(day.cancelled(), 20u);
     EXPECT_GT(day.world().checker().starts(), 50u);
-    for (const auto& rule : day.world().checker().broken())
-      ADD_FAILURE() << "day " << number << ": " << rule;
+    expect_rules_kept(day.world(), "day " + std::to_string(number));
     if (std::getenv("EIDERREEL_TRACE"))
       for (const auto& line : day.world().trace()) std::puts(line.c_str());
   }
--- /dev/null
+++ b/tests/standin/expectations.h
@@ -0,0 +1,25 @@
+// What the tests of the simulated world share: names of its machines, and the rules that every day
+// must keep.
+#pragma once
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "standin/world.h"
+
+namespace eiderreel::standin {
+
+// The n-th machine of a world, and its address.
+inline std::string machine(int n) {
+  const std::string digits = std::to_string(n);
+  return "m-" + std::string(6 - digits.size(), '0') + digits;
+}
+inline std::string address(const std::string& machine) { return "w-" + machine; }
+
+// No rule is broken, and the day was one on which tasks started.
+inline void expect_rules_kept(World& w, const std::string& day = "") {
+  for (const auto& rule : w.checker().broken()) ADD_FAILURE() << day << " rule broken: " << rule;
+  EXPECT_GT(w.checker().starts(), 0u);
+}
+
+}  // namespace eiderreel::standin
--- a/tests/trace_test.cc
+++ b/tests/trace_test.cc
@@ -1,14 +1,12 @@
 // Days in the stand-in world, written down as traces and compared in full. Each checks the rules
 // of the protocol; the traces in tests/traces/ are for reading. To write them anew after a change
 // of behaviour: EIDERREEL_WRITE_TRACES=1 target/tests/eiderreel_tests, then read the difference.
-#include <gtest/gtest.h>
-
 #include <array>
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
 
-#include "standin/world.h"
+#include "standin/expectations.h"
 
 using namespace eiderreel;
 using namespace eiderreel::standin;
@@ -21,8 +19,7 @@
 
 struct Trace : testing::Test {
   void compare(World& w, const std::string& name) {
-    for (const auto& b : w.checker().broken()) ADD_FAILURE() << "rule broken: " << b;
-    EXPECT_GT(w.checker().starts(), 0u);
+    expect_rules_kept(w);
     std::string text;
     for (const auto& line : w.trace()) text += line + "\n";
     const std::string path = std::string(EIDERREEL_SOURCE_DIR) + "/tests/traces/" + name + ".txt";
@@ -230,7 +227,7 @@
   usual_load(w, 5);
   w.at(9, [&] { w.freeze_machine(w.machines_of("run-101").at(0), true); });
   w.at(30, [&] {
-    for (int i = 0; i < 6; ++i) w.freeze_machine("m-00000" + std::to_string(i), false);
+    for (int i = 0; i < 6; ++i) w.freeze_machine(machine(i), false);
   });
   w.run_until(70);
   expect_usual_load_ends(w);
@@ -530,11 +527,10 @@
   });
   w.run_until(50);
   expect_no_lease_ends(w);
-  for (int i = 0; i < 40; ++i)
-    w.kill_machine("m-" + std::string(i < 10 ? "00000" : "0000") + std::to_string(i));
+  for (int i = 0; i < 40; ++i) w.kill_machine(machine(i));
   w.run_until(150);
   w.checker().troubles_over(60);
-  for (const auto& b : w.checker().broken()) ADD_FAILURE() << "rule broken: " << b;
+  expect_rules_kept(w);
   for (const auto& id : ids) EXPECT_EQ(w.phase(id), "done") << id;
   expect_all_answered(w, ids);
 }
@@ -565,7 +561,7 @@
       if (n % 4 == 0) w.at(t, [&w, id, team] { w.submit(w.job(id, team, 40, 1, 10)); });
     }
   w.run_until(140);
-  for (const auto& b : w.checker().broken()) ADD_FAILURE() << "rule broken: " << b;
+  expect_rules_kept(w);
   EXPECT_LT(w.slowest_acceptance(), GetParam().slowest_acceptance_s);
   EXPECT_LT(w.refused_over_limit(), GetParam().refused);
   for (int i = 4; i <= n; i += 4) EXPECT_EQ(w.phase("run-" + std::to_string(i)), "done") << i;
