--- a/tests/cancellation_test.cc
+++ b/tests/cancellation_test.cc
@@ -28,12 +28,11 @@
 // again they are cut off once more, for longer than that lease lasts.
 TEST_P(CancelledWhileMachinesAreCutOff, TheAnswerThatTellsANewTermKills) {
   World w(slow_reports(GetParam()));
-  std::vector<std::string> machines;
   std::map<std::string, std::uint64_t> tokens;
   std::size_t cut_off = 0;
   w.at(5, [&] { w.submit(w.job("run-1", "blue", 24, 1, 400)); });
   w.at(kCancelled - 0.1, [&] {
-    machines = w.machines_of("run-1");
+    const auto machines = w.machines_of("run-1");
     ASSERT_EQ(machines.size(), 24u);
     for (const auto& machine : machines) {
       w.cut({address(machine)}, {World::all()}, CutMode::reset);
@@ -103,4 +102,35 @@
   }
 }
 
+// Every direct command is held up: the kills that come with answers to reports are enough, also for
+// tasks that were told to save, for longer than a cancellation may take.
+TEST(CommandsAreHeldUp, KillsOfACancelledJobComeWithTheAnswersToReports) {
+  Options o;
+  o.machines = 2;
+  o.capacity = 0;
+  o.nodes = 1;
+  o.cancel_s = 15;
+  World w(o);
+  w.at(5, [&w] {
+    JobSpec array = w.job("run-1", "red", 16, 1, 400);
+    array.checkpoint_s = 5;
+    array.save_s = 40;
+    w.submit(array);
+    w.late_commands({1, 2, 16});
+  });
+  w.at(12, [&w] {
+    EXPECT_EQ(w.tasks_on("run-1"), 16u);
+    w.submit(w.service("run-800", "blue", 1, 8));  // some of the array have to make room
+  });
+  w.at(20, [&w] {
+    EXPECT_GE(w.lines(" saves run-1/"), 8u);
+    w.cancel("run-1");
+  });
+  w.run_until(60);
+  EXPECT_EQ(w.phase("run-1"), "cancelled");
+  EXPECT_EQ(w.tasks_on("run-800"), 1u);
+  EXPECT_GE(w.commands_late(), 1u);
+  expect_rules_kept(w);
+}
+
 }  // namespace
--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -16,8 +16,8 @@
 
 struct Gap {
   std::uint64_t seed;
-  World::LateWrites late;  // of the commits just before the refusal
-  double outage_after_s;   // from the refusal
+  Delays late;            // of the commits just before the refusal
+  double outage_after_s;  // from the refusal
 };
 
 class GapTest : public testing::TestWithParam<Gap> {
@@ -137,7 +137,7 @@
 
 std::vector<Gap> gaps() {
   std::vector<Gap> out;
-  const World::LateWrites lost{1, 0.005, 0.01}, late{1, 0.6, 1.6};
+  const Delays lost{1, 0.005, 0.01}, late{1, 0.6, 1.6};
   for (std::uint64_t seed : {1, 2, 3, 4})
     for (double after : {2.2, 3.0, 3.6}) {
       out.push_back({seed, lost, after});
--- a/tests/standin/state_service.cc
+++ b/tests/standin/state_service.cc
@@ -165,9 +165,7 @@
   ++counters_.commits;
   if (late_writes_.share > 0 && environment_.chance() < late_writes_.share) {
     ++counters_.without_answer;
-    const double late_s =
-        late_writes_.least_s + (late_writes_.most_s - late_writes_.least_s) * environment_.chance();
-    return commit_later(environment_.now() + static_cast<Ms>(late_s * 1000), body);
+    return commit_later(environment_.now() + late_writes_.delay(environment_.chance()), body);
   }
   done(commit(body));
 }
--- a/tests/standin/state_service.h
+++ b/tests/standin/state_service.h
@@ -16,6 +16,10 @@
 // Soon: only the answer is lost.
 struct Delays {
   double share = 0, least_s = 2, most_s = 12;
+  // How late one of them is, for a chance in [0, 1).
+  Ms delay(double chance) const {
+    return static_cast<Ms>((least_s + (most_s - least_s) * chance) * 1000);
+  }
 };
 
 class StateService {
--- a/tests/standin/world.cc
+++ b/tests/standin/world.cc
@@ -270,9 +270,7 @@
 // Held up on its way: it is carried out once, late, and nobody hears of it.
 void World::hold_command(Worker& w, const HttpRequest& r) {
   ++commands_late_;
-  const double late_s =
-      late_commands_.least_s + (late_commands_.most_s - late_commands_.least_s) * chance();
-  schedule(now_ + static_cast<Ms>(late_s * 1000),
+  schedule(now_ + late_commands_.delay(chance()),
            [this, &w, r] { serve_worker(w, r, [](HttpReply) {}); });
 }
 
@@ -501,6 +499,7 @@
   const bool enough = s.checkpoint_s > 0 && grace_s > 0 && grace_s >= s.save_s;
   if (enough && t.phase == "flushing") return;
   if (!enough || t.phase != "running") return end_task(w, key, t, "stopped");
+  note(w.id + " saves " + key.first + "/" + std::to_string(key.second));
   t.phase = "flushing";
   t.left_s = s.save_s;
   w.changed = true;
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -79,7 +79,6 @@
   void heal();
   void state_outage(bool on);             // 503 for all
   void state_refuses(int node, bool on);  // 503 for one node
-  using LateWrites = Delays;
   void late_writes(Delays delays) { state_service_.set_late_writes(delays); }
   // Of direct commands.
   void late_commands(Delays delays) { late_commands_ = delays; }
