JSON codec: one file for each counterpart, a pure move

json.cc held the codecs of users, workers, the cloud and the state service. Each has a file of its own now; what they share stands in json_fields.h.

--- /dev/null
+++ b/src/codec/state_json.cc
@@ -0,0 +1,223 @@
+// Keys and values kept in the state service, and its requests and answers.
+#include "codec/json.h"
+#include "codec/json_fields.h"
+
+namespace eiderreel::codec {
+
+using namespace fields;
+
+namespace {
+
+// Runs of indexes as [first, length] pairs would be short for most jobs and long for a few; bits
+// have one size. base64 keeps 4 KiB of them within the value limit.
+const char kDigits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
+
+std::string pack_bits(const std::vector<std::uint32_t>& tasks, std::uint32_t from) {
+  std::uint32_t top = 0;
+  for (auto t : tasks) top = std::max(top, t - from + 1);
+  std::string out((top + 5) / 6, '\0');
+  for (auto t : tasks) out[(t - from) / 6] |= static_cast<char>(1 << ((t - from) % 6));
+  for (auto& c : out) c = kDigits[static_cast<int>(c)];
+  return out;
+}
+
+std::vector<std::uint32_t> unpack_bits(const std::string& s, std::uint32_t from) {
+  static const std::string digits(kDigits);
+  std::vector<std::uint32_t> out;
+  for (std::size_t i = 0; i < s.size() && i * 6 < constants::kDoneChunk; ++i) {
+    auto v = digits.find(s[i]);
+    if (v == std::string::npos) continue;
+    for (int b = 0; b < 6; ++b)
+      if (v & (1u << b)) out.push_back(from + static_cast<std::uint32_t>(i) * 6 + b);
+  }
+  return out;
+}
+
+void read_value(const Value& v, StateRow& r) {
+  if (!v.IsObject()) return;
+  get(v, "n", r.nonce);
+  if (starts_with(r.key, "e/part/")) {
+    PartRecord p;
+    if (get(v, "owner", p.owner) && get(v, "grant", p.grant)) r.part = p;
+  } else if (starts_with(r.key, "e/machine/")) {
+    const Value* p = field(v, "part");
+    MachineRecord m;
+    if (p && p->IsInt() && get(v, "type", m.type) && get(v, "zone", m.zone) &&
+        get(v, "addr", m.addr) && get(v, "spot", m.spot)) {
+      m.part = p->GetInt();
+      r.machine = m;
+    }
+  } else if (starts_with(r.key, "e/node/")) {
+    NodeRecord n;
+    if (get(v, "boot", n.boot) && get(v, "grant", n.grant)) r.node = n;
+  } else if (starts_with(r.key, "e/job/")) {
+    JobSpec j;
+    std::uint64_t at = 0;
+    if (get(v, "at_ms", at)) j.accepted_at = static_cast<Ms>(at);
+    if (parse_spec(v, j).empty()) r.job = j;
+  } else if (starts_with(r.key, "e/final/")) {
+    std::string p;
+    if (get(v, "phase", p)) r.final_phase = named<JobPhase>(p, kJobPhases);
+  } else if (starts_with(r.key, "d/")) {
+    std::string bits;
+    std::uint64_t chunk = 0;
+    if (get(v, "bits", bits) && get(v, "chunk", chunk))
+      r.done =
+          DoneRecord{unpack_bits(bits, static_cast<std::uint32_t>(chunk) * constants::kDoneChunk)};
+  }
+}
+
+bool read_row(const Value& v, StateRow& r) {
+  if (!v.IsObject()) return false;
+  if (get(v, "delete", r.key)) {
+    r.deleted = true;
+    return get(v, "stamp", r.stamp);
+  }
+  if (!get(v, "key", r.key) && !get(v, "write", r.key)) return false;
+  if (!get(v, "stamp", r.stamp)) return false;
+  if (const Value* value = field(v, "v")) read_value(*value, r);
+  return true;
+}
+
+std::optional<StateList> parse_rows(const std::string& body, const char* name) {
+  Doc d;
+  if (!parse(d, body)) return std::nullopt;
+  const Value* rows = field(d, name);
+  StateList out;
+  if (!rows || !rows->IsArray() || !get(d, "ledger", out.ledger)) return std::nullopt;
+  get(d, "more", out.more);
+  for (const auto& e : rows->GetArray()) {
+    StateRow r;
+    if (!read_row(e, r)) return std::nullopt;
+    out.rows.push_back(std::move(r));
+  }
+  return out;
+}
+
+}  // namespace
+
+std::string encode(const PartRecord& r, const std::string& nonce) {
+  return object([&](Writer& w) {
+    put(w, "n", nonce);
+    put(w, "owner", r.owner);
+    put(w, "grant", r.grant);
+  });
+}
+std::string encode(const MachineRecord& r, const std::string& nonce) {
+  return object([&](Writer& w) {
+    put(w, "n", nonce);
+    put(w, "part", r.part);
+    put(w, "type", r.type);
+    put(w, "zone", r.zone);
+    put(w, "addr", r.addr);
+    put(w, "spot", r.spot);
+  });
+}
+std::string encode(const NodeRecord& r, const std::string& nonce) {
+  return object([&](Writer& w) {
+    put(w, "n", nonce);
+    put(w, "boot", r.boot);
+    put(w, "grant", r.grant);
+  });
+}
+std::string encode(const JobSpec& r, const std::string& nonce) {
+  return object([&](Writer& w) {
+    put(w, "n", nonce);
+    put_spec(w, r);
+  });
+}
+std::string encode_final(JobPhase p, const std::string& nonce) {
+  return object([&](Writer& w) {
+    put(w, "n", nonce);
+    put(w, "phase", std::string(phase_name(p)));
+  });
+}
+std::string encode_done(const std::vector<std::uint32_t>& tasks, std::uint32_t chunk,
+                        const std::string& nonce) {
+  return object([&](Writer& w) {
+    put(w, "n", nonce);
+    put(w, "chunk", std::uint64_t{chunk});
+    put(w, "bits", pack_bits(tasks, chunk * constants::kDoneChunk));
+  });
+}
+
+std::optional<StateList> parse_list(const std::string& body) { return parse_rows(body, "rows"); }
+std::optional<StateList> parse_events(const std::string& body) {
+  return parse_rows(body, "events");
+}
+
+std::optional<StateRow> parse_row(const std::string& body) {
+  Doc d;
+  StateRow r;
+  if (!parse(d, body) || !read_row(d, r)) return std::nullopt;
+  return r;
+}
+
+std::string stored_row(const std::string& key, const std::string& value, std::uint64_t stamp) {
+  return object([&](Writer& w) {
+    put(w, value.empty() ? "delete" : "write", key);
+    put(w, "stamp", stamp);
+    if (value.empty()) return;
+    w.Key("v");
+    w.RawValue(value.data(), value.size(), rapidjson::kObjectType);
+  });
+}
+
+std::optional<std::uint64_t> parse_number(const std::string& body, const char* name) {
+  Doc d;
+  std::uint64_t n = 0;
+  if (!parse(d, body) || !get(d, name, n)) return std::nullopt;
+  return n;
+}
+
+std::string commit_body(const std::vector<Guard>& guards, const std::vector<Write>& writes,
+                        std::uint64_t grant) {
+  return object([&](Writer& w) {
+    w.Key("guards");
+    w.StartArray();
+    for (const auto& g : guards) {
+      w.StartObject();
+      put(w, "key", g.key);
+      put(w, "stamp", g.stamp);
+      w.EndObject();
+    }
+    w.EndArray();
+    w.Key("writes");
+    w.StartArray();
+    for (const auto& o : writes) {
+      w.StartObject();
+      if (o.value.empty()) {
+        put(w, "delete", o.key);
+      } else {
+        put(w, "write", o.key);
+        w.Key("v");
+        w.RawValue(o.value.data(), o.value.size(), rapidjson::kObjectType);
+        if (o.tethered) put(w, "tether", grant);
+      }
+      w.EndObject();
+    }
+    w.EndArray();
+  });
+}
+
+std::string grant_body(Ms life) {
+  return object([&](Writer& w) { put(w, "life_ms", static_cast<std::uint64_t>(life)); });
+}
+
+std::string part_key(int part) { return "e/part/" + std::to_string(part); }
+std::string machine_key(const std::string& id) { return "e/machine/" + id; }
+std::string node_key(const std::string& name) { return "e/node/" + name; }
+std::string job_key(const std::string& id) { return "e/job/" + id; }
+std::string final_key(const std::string& id) { return "e/final/" + id; }
+std::string done_prefix(int part) { return "d/" + std::to_string(part) + "/"; }
+std::string done_key(int part, const std::string& id, std::uint32_t chunk) {
+  return done_prefix(part) + id + "/" + std::to_string(chunk);
+}
+std::string key_name(const std::string& key) { return key.substr(key.rfind('/') + 1); }
+std::string done_key_job(const std::string& key) {
+  auto end = key.rfind('/');
+  auto begin = key.rfind('/', end - 1);
+  return key.substr(begin + 1, end - begin - 1);
+}
+
+}  // namespace eiderreel::codec
