The replica of the followed keys is a class of its own, a pure move

state_store_client.cc held lease, requests, following and the view. The view and what keeps it up to date are ReplicatedView now.

--- a/src/actors/controller.cc
+++ b/src/actors/controller.cc
@@ -41,8 +41,8 @@
   state_store_.start({[this](const std::string& id) { owner_.job_opened(id); },
                       [this](const std::string& id) { owner_.job_closed(id); },
                       [this](const std::string& id) { owner_.machine_changed(id); },
-                      [this](int part) { owner_.part_changed(part); },
-                      [this] { owner_.grant_lost(); }});
+                      [this](int part) { owner_.part_changed(part); }},
+                     [this] { owner_.grant_lost(); });
 }
 
 void Controller::tick() {
--- a/src/actors/job_api.cc
+++ b/src/actors/job_api.cc
@@ -135,7 +135,7 @@
     state_store_.read(codec::final_key(id), [this, id, cancel, reply](auto row) {
       if (!row) return refuse(reply, "the state service does not answer");
       if (row->stamp == 0 || !row->final_phase) return reply(404, codec::error_body("no such job"));
-      state_store_.remember_final(id, *row->final_phase, row->stamp);
+      state_store_.replica().remember_final(id, *row->final_phase, row->stamp);
       tell_final(id, *row->final_phase, cancel, reply);
     });
   });
--- a/src/actors/owner_parts.cc
+++ b/src/actors/owner_parts.cc
@@ -49,7 +49,7 @@
   if (asked == promise_requests_.end() || !p.given) return;
   // Guard: our view stands still while promises keep us acting. What the peer may have told its
   // users we must know first: such a job's tasks went on for as long as the state service was down.
-  state_store_.take_closed(p.closed);
+  state_store_.replica().take_closed(p.closed);
   const Ms until =
       asked->second + static_cast<Ms>(k::kPromiseMs * (1 - k::kDrift)) - k::kGrantMarginMs;
   Ms& held = peer_promises_[node];
@@ -79,8 +79,8 @@
 mesh::Promise Owner::give_promise(const std::string& node, const mesh::PromiseRequest& a) {
   // Guard: a node that the state service refused alone, before the outage, has not seen the claim
   // of the part that it lost. It promised nothing then, and all leases of the part ended.
-  for (const auto& [part, stamp] : a.parts) state_store_.take_claim(part, node, stamp);
-  auto closed = state_store_.closed_since(a.ledger);
+  for (const auto& [part, stamp] : a.parts) state_store_.replica().take_claim(part, node, stamp);
+  auto closed = state_store_.replica().closed_since(a.ledger);
   if (!closed || !may_promise(node, a)) return {a.number, false, {}};
   const Ms until = rt_.now() + static_cast<Ms>(a.life * (1 + k::kDrift));
   for (const auto& [part, stamp] : a.parts)
--- /dev/null
+++ b/src/actors/replicated_view.h
@@ -0,0 +1,88 @@
+// What this node knows of the keys under `e/`: a replica that follows the state service, and is
+// ahead of it by this node's own commits.
+#pragma once
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "actors/runtime.h"
+#include "codec/json.h"
+
+namespace eiderreel {
+
+// What the followed keys say. Read by the other actors, changed by the state store client alone.
+struct View {
+  struct PartEntry {
+    std::string owner;
+    std::uint64_t stamp = 0, grant = 0;
+  };
+  struct MachineEntry {
+    codec::MachineRecord record;
+    std::uint64_t stamp = 0;
+  };
+  struct NodeEntry {
+    codec::NodeRecord record;
+    std::uint64_t stamp = 0;
+    Ms seen = 0;
+  };
+  struct JobEntry {
+    JobSpec spec;
+    std::uint64_t stamp = 0;
+  };
+  bool ready = false;
+  std::uint64_t ledger = 0;  // all changes up to here are in
+  std::map<int, PartEntry> parts;
+  std::map<std::string, MachineEntry> machines;
+  std::map<std::string, NodeEntry> nodes;
+  std::unordered_map<std::string, JobEntry> jobs;
+  // Final phases, the most recent ones; a missing one is read, never taken for unknown.
+  std::unordered_map<std::string, JobPhase> finals;
+};
+
+class ReplicatedView {
+ public:
+  struct Events {
+    std::function<void(const std::string&id)> job_opened, job_closed, machine_changed;
+    std::function<void(int part)> part_changed;
+  };
+
+  explicit ReplicatedView(Runtime& rt) : rt_(rt) {}
+  void start(Events events) { events_ = std::move(events); }
+  const View& view() const { return view_; }
+
+  // Keys are listed anew: which jobs ended since the changes that were missed is not known.
+  void begin_load(std::uint64_t ledger);
+  // What an earlier view had and the list has not is gone.
+  void remove_missing(const std::set<std::string>& loaded, std::uint64_t ledger);
+  // All changes up to here are in.
+  void followed(std::uint64_t ledger);
+  void apply(const codec::StateRow& row, bool announce);
+  void apply_commit(const std::vector<codec::Write>& writes, std::uint64_t ledger);
+  void remember_final(const std::string& id, JobPhase p, std::uint64_t stamp);
+  // All jobs that this node knows to have ended after `ledger`; nullopt when it cannot tell.
+  std::optional<std::vector<ClosedJob>> closed_since(std::uint64_t ledger) const;
+  // What a peer knows to be over is over in our view too.
+  void take_closed(const std::vector<ClosedJob>& closed);
+  // A peer has claimed a part after all changes that our view has.
+  void take_claim(int part, const std::string& owner, std::uint64_t stamp);
+  // An earlier process of this node has ended its grant.
+  void forget_node(const std::string& node) { view_.nodes.erase(node); }
+
+ private:
+  Runtime& rt_;
+  Events events_;
+  View view_;
+  std::list<std::string> final_order_;
+  // Jobs that ended, as they were learnt; whole for all that ended after `closed_from_`.
+  std::deque<ClosedJob> closed_;
+  std::uint64_t closed_from_ = 0;
+};
+
+}  // namespace eiderreel
--- a/src/actors/state_store_client.cc
+++ b/src/actors/state_store_client.cc
@@ -12,20 +12,17 @@
 
 const std::array<std::string, 4> kFollowed = {"e/job/", "e/machine/", "e/node/", "e/part/"};
 
-bool under(const std::string& key, const std::string& prefix) {
-  return key.compare(0, prefix.size(), prefix) == 0;
-}
-
 // In doubt: no answer, or one that does not tell whether the request was carried out.
 bool in_doubt(int status) { return status == 0 || (status >= 500 && status != 503); }
 
 }  // namespace
 
 StateStoreClient::StateStoreClient(Runtime& rt, const Settings& s)
-    : rt_(rt), s_(s), rate_limiter_(s) {}
+    : rt_(rt), s_(s), replica_(rt), rate_limiter_(s) {}
 
-void StateStoreClient::start(Events events) {
-  events_ = std::move(events);
+void StateStoreClient::start(ReplicatedView::Events events, std::function<void()> grant_lost) {
+  grant_lost_ = std::move(grant_lost);
+  replica_.start(std::move(events));
   rate_limiter_.start(rt_.now());
   begin_follow();
 }
@@ -94,7 +91,7 @@
 
 void StateStoreClient::tick() {
   pump();
-  if (!view_.ready) return;
+  if (!view().ready) return;
   const Ms now = rt_.now();
   if (grant_ == 0) {
     get_grant();
@@ -122,8 +119,8 @@
   if (granting_) return;
   granting_ = true;
   // An earlier process of this node has ended, so its grant holds back our parts for nothing.
-  auto old = view_.nodes.find(s_.node);
-  if (old != view_.nodes.end() && old->second.record.boot != rt_.boot_id() &&
+  auto old = view().nodes.find(s_.node);
+  if (old != view().nodes.end() && old->second.record.boot != rt_.boot_id() &&
       old->second.record.grant != 0) {
     const std::uint64_t grant = old->second.record.grant;
     spdlog::info("grant end node={} grant={} reason=earlier-process", s_.node, grant);
@@ -132,7 +129,7 @@
             Pace::urgent,
             0,
             [this](HttpReply r) {
-              if (r.status == 200 || r.status == 404) view_.nodes.erase(s_.node);
+              if (r.status == 200 || r.status == 404) replica_.forget_node(s_.node);
               rt_.after(r.status == 0 || r.status >= 429 ? k::kRetryMs : 0,
                         [this] { granting_ = false; });
             }});
@@ -178,7 +175,7 @@
               spdlog::warn("grant lost node={} grant={}", s_.node, grant_);
               grant_ = 0;
               alive_until_ = 0;
-              events_.grant_lost();
+              grant_lost_();
             } else {
               last_extend_ = rt_.now() - k::kExtendEveryMs + k::kRetryMs;  // again soon
             }
@@ -195,24 +192,7 @@
 
 void StateStoreClient::load(std::size_t prefix, std::string since) {
   if (prefix == kFollowed.size()) {
-    // What an earlier view had and the list has not is gone.
-    auto gone = [&](const std::string& key) { return !loaded_.count(key); };
-    std::vector<std::string> missing;
-    for (const auto& [id, e] : view_.jobs)
-      if (gone(codec::job_key(id))) missing.push_back(codec::job_key(id));
-    for (const auto& [id, e] : view_.machines)
-      if (gone(codec::machine_key(id))) missing.push_back(codec::machine_key(id));
-    for (const auto& [id, e] : view_.nodes)
-      if (gone(codec::node_key(id))) missing.push_back(codec::node_key(id));
-    for (const auto& [id, e] : view_.parts)
-      if (gone(codec::part_key(id))) missing.push_back(codec::part_key(id));
-    for (const auto& key : missing) {
-      codec::StateRow r;
-      r.key = key;
-      r.deleted = true;
-      r.stamp = follow_since_;
-      apply(r, true);
-    }
+    replica_.remove_missing(loaded_, follow_since_);
     follow(0);
     return;
   }
@@ -227,12 +207,12 @@
          }
          // Changes since the first page are followed from its ledger, so none is missed.
          if (follow_since_ == 0) {
-           follow_since_ = closed_from_ = page->ledger;
-           closed_.clear();  // which jobs ended since the changes that we missed is not known
+           follow_since_ = page->ledger;
+           replica_.begin_load(follow_since_);
          }
          for (const auto& row : page->rows) {
            loaded_.insert(row.key);
-           apply(row, true);
+           replica_.apply(row, true);
          }
          if (page->more && !page->rows.empty())
            load(prefix, page->rows.back().key);
@@ -254,13 +234,13 @@
               rt_.after(k::kRetryMs, [this] { follow(k::kFollowWaitMs); });
               return;
             }
-            for (const auto& row : events->rows) apply(row, view_.ready);
+            for (const auto& row : events->rows) replica_.apply(row, view().ready);
             follow_since_ = std::max(follow_since_, events->ledger);
-            view_.ledger = follow_since_;
-            if (!view_.ready) {
-              view_.ready = true;
+            const bool first = !view().ready;
+            replica_.followed(follow_since_);
+            if (first) {
               spdlog::info("view ready node={} ledger={} jobs={} machines={}", s_.node,
-                           view_.ledger, view_.jobs.size(), view_.machines.size());
+                           view().ledger, view().jobs.size(), view().machines.size());
             }
             announce_seen();
             rt_.after(follow_pause(), [this] { follow(k::kFollowWaitMs); });
@@ -274,7 +254,7 @@
 }
 
 void StateStoreClient::announce_seen() {
-  while (!waiting_.empty() && waiting_.begin()->first <= view_.ledger) {
+  while (!waiting_.empty() && waiting_.begin()->first <= view().ledger) {
     auto f = std::move(waiting_.begin()->second);
     waiting_.erase(waiting_.begin());
     f();
@@ -282,110 +262,12 @@
 }
 
 void StateStoreClient::when_seen(std::uint64_t ledger, std::function<void()> done) {
-  if (view_.ledger >= ledger)
+  if (view().ledger >= ledger)
     done();
   else
     waiting_.emplace(ledger, std::move(done));
 }
 
-void StateStoreClient::remember_final(const std::string& id, JobPhase p, std::uint64_t stamp) {
-  if (!view_.finals.emplace(id, p).second) return;
-  closed_.push_back({id, p, stamp});
-  if (closed_.size() > k::kClosedKept) {
-    closed_from_ = std::max(closed_from_, closed_.front().stamp);
-    closed_.pop_front();
-  }
-  final_order_.push_back(id);
-  if (final_order_.size() > k::kFinalCache) {
-    view_.finals.erase(final_order_.front());
-    final_order_.pop_front();
-  }
-}
-
-std::optional<std::vector<ClosedJob>> StateStoreClient::closed_since(std::uint64_t ledger) const {
-  if (!view_.ready || ledger < closed_from_) return std::nullopt;
-  std::vector<ClosedJob> out;
-  for (const auto& c : closed_)
-    if (c.stamp > ledger) out.push_back(c);
-  return out;
-}
-
-void StateStoreClient::take_closed(const std::vector<ClosedJob>& closed) {
-  for (const auto& c : closed) {
-    remember_final(c.id, c.phase, c.stamp);
-    codec::StateRow record;
-    record.key = codec::job_key(c.id);
-    record.deleted = true;
-    record.stamp = c.stamp;
-    apply(record, true);
-  }
-}
-
-void StateStoreClient::take_claim(int part, const std::string& owner, std::uint64_t stamp) {
-  // Guard: an older claim may have ended within our view, and the changes will not tell so again.
-  if (stamp <= view_.ledger) return;
-  codec::StateRow claim;
-  claim.key = codec::part_key(part);
-  claim.stamp = stamp;
-  claim.part = codec::PartRecord{owner, 0};
-  apply(claim, true);
-}
-
-// Rows may come twice and, from our own commits, ahead of their turn: an older stamp changes
-// nothing, and a final job never opens again.
-void StateStoreClient::apply(const codec::StateRow& row, bool announce) {
-  const std::string name = codec::key_name(row.key);
-  if (under(row.key, "e/job/")) {
-    auto it = view_.jobs.find(name);
-    if (row.deleted) {
-      if (it == view_.jobs.end() || it->second.stamp > row.stamp) return;
-      view_.jobs.erase(it);
-      if (announce) events_.job_closed(name);
-    } else if (row.job && it == view_.jobs.end() && !view_.finals.count(name)) {
-      view_.jobs[name] = {*row.job, row.stamp};
-      if (announce) events_.job_opened(name);
-    }
-  } else if (under(row.key, "e/final/")) {
-    if (row.final_phase) remember_final(name, *row.final_phase, row.stamp);
-  } else if (under(row.key, "e/machine/")) {
-    auto& m = view_.machines;
-    auto it = m.find(name);
-    if (it != m.end() && it->second.stamp >= row.stamp) return;
-    if (row.deleted)
-      m.erase(name);
-    else if (row.machine)
-      m[name] = {*row.machine, row.stamp};
-    if (announce) events_.machine_changed(name);
-  } else if (under(row.key, "e/node/")) {
-    auto it = view_.nodes.find(name);
-    if (it != view_.nodes.end() && it->second.stamp >= row.stamp) return;
-    if (row.deleted)
-      view_.nodes.erase(name);
-    else if (row.node)
-      view_.nodes[name] = {*row.node, row.stamp, rt_.now()};
-  } else if (under(row.key, "e/part/")) {
-    const int part = std::atoi(name.c_str());
-    auto it = view_.parts.find(part);
-    if (it != view_.parts.end() && it->second.stamp >= row.stamp) return;
-    if (row.deleted)
-      view_.parts.erase(part);
-    else if (row.part)
-      view_.parts[part] = {row.part->owner, row.stamp, row.part->grant};
-    if (announce) events_.part_changed(part);
-  }
-}
-
-void StateStoreClient::apply_commit(const Commit& c, std::uint64_t ledger) {
-  // Puts first: the final record of a job must be known when its record goes.
-  for (bool deletes : {false, true}) {
-    for (const auto& w : c.writes) {
-      if (w.value.empty() != deletes || !under(w.key, "e/")) continue;
-      std::string text = codec::stored_row(w.key, w.value, ledger);
-      if (auto row = codec::parse_row(text)) apply(*row, true);
-    }
-  }
-}
-
 // ------------------------------------------------------------------------------ commits
 
 void StateStoreClient::commit(Commit c) {
@@ -401,7 +283,7 @@
           [this, c, tries](HttpReply r) {
             if (r.status == 200) {
               auto ledger = codec::parse_number(r.body, "ledger").value_or(0);
-              apply_commit(*c, ledger);
+              replica_.apply_commit(c->writes, ledger);
               c->done(Outcome::ok, ledger);
             } else if (r.status == 409) {
               // Invariant 8: an earlier try of ours may be what the guards met.
@@ -428,7 +310,7 @@
   read(c->writes.front().key, [this, c, ledger, tries](std::optional<codec::StateRow> row) {
     if (row) {
       if (row->stamp != 0 && row->nonce == c->nonce) {
-        apply_commit(*c, row->stamp);
+        replica_.apply_commit(c->writes, row->stamp);
         c->done(Outcome::ok, row->stamp);
         return;
       }
--- a/src/actors/state_store_client.h
+++ b/src/actors/state_store_client.h
@@ -1,51 +1,21 @@
-// The state store client: all dealings with the state service. It owns this node's grant, the view
-// that follows every key under `e/`, and the requests that wait for the rate limiter.
+// The state store client: all dealings with the state service. It owns this node's grant, the
+// replica of every key under `e/`, and the requests that wait for the rate limiter.
 #pragma once
 #include <deque>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
-#include <unordered_map>
 
 #include "actors/rate_limiter.h"
+#include "actors/replicated_view.h"
 #include "actors/runtime.h"
 #include "actors/settings.h"
 #include "codec/json.h"
 
 namespace eiderreel {
 
-// What the followed keys say. Read by the other actors, changed by the state store client alone.
-struct View {
-  struct PartEntry {
-    std::string owner;
-    std::uint64_t stamp = 0, grant = 0;
-  };
-  struct MachineEntry {
-    codec::MachineRecord record;
-    std::uint64_t stamp = 0;
-  };
-  struct NodeEntry {
-    codec::NodeRecord record;
-    std::uint64_t stamp = 0;
-    Ms seen = 0;
-  };
-  struct JobEntry {
-    JobSpec spec;
-    std::uint64_t stamp = 0;
-  };
-  bool ready = false;
-  std::uint64_t ledger = 0;  // all changes up to here are in
-  std::map<int, PartEntry> parts;
-  std::map<std::string, MachineEntry> machines;
-  std::map<std::string, NodeEntry> nodes;
-  std::unordered_map<std::string, JobEntry> jobs;
-  // Final phases, the most recent ones; a missing one is read, never taken for unknown.
-  std::unordered_map<std::string, JobPhase> finals;
-};
-
 enum class Outcome {
   ok,          // it is durable
   conflict,    // a guard failed: nothing was done, and nothing will be
@@ -68,21 +38,17 @@
 
 class StateStoreClient {
  public:
-  struct Events {
-    std::function<void(const std::string&id)> job_opened, job_closed, machine_changed;
-    std::function<void(int part)> part_changed;
-    std::function<void()> grant_lost;
-  };
   struct Counters {
     std::map<int, std::uint64_t> replies;  // by status, 0: none
     std::uint64_t refused_here = 0;        // over our own budget
   };
 
   StateStoreClient(Runtime& rt, const Settings& s);
-  void start(Events events);
+  void start(ReplicatedView::Events events, std::function<void()> grant_lost);
   void tick();
 
-  const View& view() const { return view_; }
+  const View& view() const { return replica_.view(); }
+  ReplicatedView& replica() { return replica_; }
   std::uint64_t grant() const { return grant_; }
   // Invariant 6: counted from the sending of the last good extend, less drift.
   bool grant_alive() const { return grant_ != 0 && rt_.now() < alive_until_; }
@@ -97,13 +63,6 @@
             std::function<void(std::optional<std::vector<codec::StateRow>>)> done);
   // Calls back once the view has all changes up to `ledger`.
   void when_seen(std::uint64_t ledger, std::function<void()> done);
-  void remember_final(const std::string& id, JobPhase p, std::uint64_t stamp);
-  // All jobs that this node knows to have ended after `ledger`; nullopt when it cannot tell.
-  std::optional<std::vector<ClosedJob>> closed_since(std::uint64_t ledger) const;
-  // What a peer knows to be over is over in our view too.
-  void take_closed(const std::vector<ClosedJob>& closed);
-  // A peer has claimed a part after all changes that our view has.
-  void take_claim(int part, const std::string& owner, std::uint64_t stamp);
   // What this node takes of the budgets, for its peers; and what a peer has said that it takes.
   BudgetUse use() const { return rate_limiter_.use(); }
   void peer_use(const std::string& node, const BudgetUse& use);
@@ -127,8 +86,6 @@
   void begin_follow();
   void load(std::size_t prefix, std::string since);
   void follow(Ms wait);
-  void apply(const codec::StateRow& row, bool announce);
-  void apply_commit(const Commit& c, std::uint64_t ledger);
   void try_commit(std::shared_ptr<Commit> c, int tries);
   void read_back(std::shared_ptr<Commit> c, std::uint64_t ledger, int tries);
   void list_from(const std::string& prefix, const std::string& since,
@@ -138,12 +95,8 @@
 
   Runtime& rt_;
   const Settings& s_;
-  Events events_;
-  View view_;
-  std::list<std::string> final_order_;
-  // Jobs that ended, as they were learnt; whole for all that ended after `closed_from_`.
-  std::deque<ClosedJob> closed_;
-  std::uint64_t closed_from_ = 0;
+  ReplicatedView replica_;
+  std::function<void()> grant_lost_;
   std::uint64_t grant_ = 0;
   Ms alive_until_ = 0, last_extend_ = 0, last_good_ = 0;
   bool granting_ = false, extending_ = false, node_written_ = false, writing_node_ = false;
