--- a/src/actors/owner_parts.cc
+++ b/src/actors/owner_parts.cc
@@ -1,5 +1,5 @@
-// Whose part is whose: claims, promises, activation, hand-back and loss. What an owner does with a
-// part stands in owner.cc.
+// Whose part is whose: claims, promises, activation, hand-back and loss. What an owner does with
+// the machines of a part stands in owner.cc, what it does with its jobs in owner_jobs.cc.
 #include <spdlog/spdlog.h>
 
 #include "actors/owner.h"
