--- a/src/actors/controller.cc
+++ b/src/actors/controller.cc
@@ -39,7 +39,9 @@
                   broadcast(mesh::Gone{ids});
                 }});
   state_store_.start({[this](const std::string& id) { owner_.job_opened(id); },
+                      [this](const std::string& id) { owner_.job_ready(id); },
                       [this](const std::string& id) { owner_.job_closed(id); },
+                      [this](const std::string& id) { owner_.urgency_changed(id); },
                       [this](const std::string& id) { owner_.machine_changed(id); },
                       [this](int part) { owner_.part_changed(part); }},
                      [this] { owner_.grant_lost(); });
--- /dev/null
+++ b/src/actors/job_acceptor.h
@@ -0,0 +1,59 @@
+// The acceptance of jobs: a job is known once its record is durable, and a job that names
+// prerequisites only if each of them was accepted before.
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "actors/state_store_client.h"
+
+namespace eiderreel {
+
+enum class Acceptance {
+  accepted,
+  known,                 // it was accepted before: its user is told its state
+  unknown_prerequisite,  // a prerequisite was never accepted: neither is the job
+  unconfirmed,           // the state service does not tell; the user asks again
+  too_large,             // its record does not fit into a value
+};
+
+class JobAcceptor {
+ public:
+  using Done = std::function<void(Acceptance)>;
+
+  JobAcceptor(const Settings& s, StateStoreClient& state_store)
+      : s_(s), state_store_(state_store) {}
+  void accept(JobSpec job, Done done);
+
+ private:
+  // A job with prerequisites on its way; a repeated submission waits for the same outcome.
+  struct Submission {
+    JobSpec job;
+    std::vector<Done> waiting;
+    std::string nonce;
+    std::vector<std::string> parts;  // values of its prerequisites, where they need several
+    std::size_t written = 0;         // parts that are durable
+    std::uint64_t last_part_stamp = 0;
+  };
+  using Pending = std::shared_ptr<Submission>;
+
+  void check_prerequisites(const Pending& p);
+  void check_accepted(const Pending& p);
+  std::vector<std::string> unknown_prerequisites(const JobSpec& job) const;
+  void write(const Pending& p);
+  void split(Submission& submission) const;
+  void write_parts(const Pending& p);
+  void commit_record(const JobSpec& job, std::string value, std::string nonce,
+                     std::vector<codec::Guard> guards, Done done);
+  void end(const Pending& p, Acceptance acceptance);
+  std::size_t value_limit() const { return static_cast<std::size_t>(s_.state_value_kb * 1024); }
+
+  const Settings& s_;
+  StateStoreClient& state_store_;
+  std::map<std::string, Pending> pending_;
+};
+
+}  // namespace eiderreel
--- a/src/actors/job_api.cc
+++ b/src/actors/job_api.cc
@@ -8,7 +8,10 @@
 
 namespace {
 
-void refuse(const Reply& reply, const char* why) { reply(503, codec::error_body(why)); }
+void refuse(const Reply& reply, const char* why) {
+  spdlog::debug("request refused why=\"{}\"", why);
+  reply(503, codec::error_body(why));
+}
 
 }  // namespace
 
@@ -17,6 +20,7 @@
       s_(s),
       state_store_(state_store),
       owner_(owner),
+      acceptor_(s, state_store),
       // Answers may come late, even to a process started since: no number is used twice.
       next_ask_(static_cast<std::uint64_t>(rt.random() * 9e15)) {}
 
@@ -53,33 +57,48 @@
   const View& v = state_store_.view();
   if (!v.ready) return refuse(reply, "not ready yet");
   if (v.finals.count(j.id) || v.jobs.count(j.id)) return look_up(j.id, false, std::move(reply));
+  if (!parsed.error.empty()) return refuse_if_unknown(j.id, parsed.error, std::move(reply));
   if (types_.empty()) return refuse(reply, "the machine types are not known yet");
   if (auto why = can_never_run(j); !why.empty()) {
     spdlog::info("job refused job={} team={} why={}", j.id, j.team, why);
     return reply(422, codec::error_body(why));
   }
-  // Any node may accept: the guards say that nobody has, and that it was never over before.
-  Commit c;
-  c.nonce = state_store_.nonce();
-  c.guards = {{codec::job_key(j.id), 0}, {codec::final_key(j.id), 0}};
-  c.writes = {{codec::job_key(j.id), codec::encode(j, c.nonce), false}};
-  if (c.writes[0].value.size() > static_cast<std::size_t>(s_.state_value_kb * 1024))
-    return reply(400, codec::error_body("the job is too large to be kept"));
+  // Guard: a build that knows no prerequisites would not wait for them.
+  if (!j.prerequisites.empty() && owner_.has_old_peer())
+    return refuse(reply, "a controller of an earlier version is still running");
   spdlog::debug(
       "job submitted job={} team={} class={} tasks={} image={} image_gb={} estimate_s={} "
       "deadline_s={}",
       j.id, j.team, j.jobclass, j.tasks, j.image, j.image_gb, j.estimate_s,
       j.deadline_s.value_or(0));
-  c.done = [this, id = j.id, reply](Outcome o, std::uint64_t stamp) {
-    if (o == Outcome::ok) {
-      spdlog::info("job accepted job={} stamp={}", id, stamp);
+  acceptor_.accept(j, [this, id = j.id, reply](Acceptance acceptance) {
+    tell_acceptance(id, acceptance, reply);
+  });
+}
+
+void JobApi::tell_acceptance(const std::string& id, Acceptance acceptance, const Reply& reply) {
+  switch (acceptance) {
+    case Acceptance::accepted:
       return reply(201, codec::job_answer(id, JobPhase::queued));
-    }
-    if (o == Outcome::conflict || o == Outcome::superseded) return look_up(id, false, reply);
-    spdlog::debug("job refused job={} outcome={}", id, static_cast<int>(o));
-    refuse(reply, "the state service did not confirm; try again");
-  };
-  state_store_.commit(std::move(c));
+    case Acceptance::known:
+      return look_up(id, false, reply);
+    case Acceptance::unknown_prerequisite:
+      spdlog::info("job refused job={} why=unknown-prerequisite", id);
+      return reply(422, codec::error_body("a job that it awaits was never accepted"));
+    case Acceptance::too_large:
+      return reply(400, codec::error_body("the job is too large to be kept"));
+    case Acceptance::unconfirmed:
+      return refuse(reply, "the state service did not confirm; try again");
+  }
+}
+
+// Guard: a known job is not refused, whatever the prerequisites of a repeated submission say.
+void JobApi::refuse_if_unknown(const std::string& id, std::string error, Reply reply) {
+  state_store_.find_accepted({id}, [this, id, error = std::move(error), reply](auto found) {
+    if (!found) return refuse(reply, "the state service does not answer");
+    if (found->empty()) return reply(400, codec::error_body(error));
+    look_up(id, false, reply);
+  });
 }
 
 void JobApi::poll(const std::string& id, Reply r) {
@@ -101,7 +120,7 @@
 void JobApi::look_up(const std::string& id, bool cancel, Reply reply) {
   const View& v = state_store_.view();
   if (auto final_phase = v.finals.find(id); final_phase != v.finals.end())
-    return tell_final(id, final_phase->second, cancel, reply);
+    return tell_final(id, final_phase->second.phase, cancel, reply);
   if (!v.jobs.count(id)) return read_open(id, cancel, std::move(reply));
   ask_owner(id, cancel, [this, id, cancel, reply](int status, std::string body) {
     if (status != 0) return tell_open(id, cancel, status, std::move(body), reply);
@@ -120,7 +139,7 @@
                        const Reply& reply) const {
   const auto& finals = state_store_.view().finals;
   if (auto final_phase = finals.find(id); final_phase != finals.end())
-    return tell_final(id, final_phase->second, cancel, reply);
+    return tell_final(id, final_phase->second.phase, cancel, reply);
   reply(status, std::move(body));
 }
 
@@ -130,17 +149,33 @@
     if (!row) return refuse(reply, "the state service does not answer");
     if (row->stamp != 0) {
       if (cancel) return refuse(reply, "the job's owner cannot be reached; try again");
+      if (row->has_prerequisites()) return tell_waiting(id, reply);
       return tell_open(id, cancel, 200, codec::job_status(id, {JobPhase::queued, 0, 0}), reply);
     }
     state_store_.read(codec::final_key(id), [this, id, cancel, reply](auto row) {
       if (!row) return refuse(reply, "the state service does not answer");
       if (row->stamp == 0 || !row->final_phase) return reply(404, codec::error_body("no such job"));
-      state_store_.replica().remember_final(id, *row->final_phase, row->stamp);
+      state_store_.replica().apply(*row, true);
       tell_final(id, *row->final_phase, cancel, reply);
     });
   });
 }
 
+// Its record is there, but a prerequisite may be cancelled, and with it the job. Only a view that
+// is as new as the question can tell. Guard: its owner may not know yet what this view knows of a
+// cancelled prerequisite, so that is told by the owner alone, or by the job's own final record.
+void JobApi::tell_waiting(const std::string& id, const Reply& reply) {
+  state_store_.catch_up([this, id, reply](bool caught_up) {
+    const View& v = state_store_.view();
+    if (auto end = v.finals.find(id); end != v.finals.end())
+      return tell_final(id, end->second.phase, false, reply);
+    if (!caught_up || !v.jobs.count(id) || v.dependencies.cancelled(id) ||
+        state_store_.replica().is_unresolved(id))
+      return refuse(reply, "the job's owner cannot be reached; ask again");
+    reply(200, codec::job_status(id, {JobPhase::queued, 0, 0}));
+  });
+}
+
 void JobApi::ask_owner(const std::string& id, bool cancel, Reply reply) {
   const View& v = state_store_.view();
   auto part = v.parts.find(s_.part_of_team(v.jobs.at(id).spec.team));
--- a/src/actors/job_api.h
+++ b/src/actors/job_api.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 
+#include "actors/job_acceptor.h"
 #include "actors/metrics.h"
 #include "actors/owner.h"
 #include "actors/state_store_client.h"
@@ -42,12 +43,16 @@
   void tell_open(const std::string& id, bool cancel, int status, std::string body,
                  const Reply& reply) const;
   void read_open(const std::string& id, bool cancel, Reply reply);
+  void tell_waiting(const std::string& id, const Reply& reply);
+  void tell_acceptance(const std::string& id, Acceptance acceptance, const Reply& reply);
+  void refuse_if_unknown(const std::string& id, std::string error, Reply reply);
   std::string can_never_run(const JobSpec& j) const;
 
   Runtime& rt_;
   const Settings& s_;
   StateStoreClient& state_store_;
   Owner& owner_;
+  JobAcceptor acceptor_;
   Hooks hooks_;
   std::vector<MachineType> types_;
   std::uint64_t next_ask_ = 0;
--- a/src/actors/metrics.cc
+++ b/src/actors/metrics.cc
@@ -49,6 +49,26 @@
   std::string out_;
 };
 
+// The first few jobs that wait for others, and what for.
+void put_waiting(rapidjson::Writer<rapidjson::StringBuffer>& w, const View& v) {
+  w.Key("waiting");
+  w.StartArray();
+  for (const auto& id : v.dependencies.waiting(k::kStatusWaiting)) {
+    w.StartObject();
+    w.Key("job");
+    w.String(id.c_str());
+    w.Key("prerequisites");
+    w.Uint64(v.dependencies.prerequisite_count(id));
+    w.Key("first");
+    w.StartArray();
+    for (const auto& first : v.dependencies.prerequisites_of(id, k::kStatusPrerequisites))
+      w.String(first.c_str());
+    w.EndArray();
+    w.EndObject();
+  }
+  w.EndArray();
+}
+
 }  // namespace
 
 Latency::Latency()
@@ -84,6 +104,13 @@
   t.value("ready", "", controller.job_api().ready() ? 1 : 0);
   t.type("open_jobs", "gauge", "accepted jobs that are not final, of all parts");
   t.value("open_jobs", "", v.jobs.size());
+  t.type("waiting_jobs", "gauge", "open jobs that wait for other jobs, of all parts");
+  t.value("waiting_jobs", "", v.dependencies.waiting_count());
+  t.type("cancelled_by_prerequisite", "gauge",
+         "open jobs whose final record is still to be written");
+  t.value("cancelled_by_prerequisite", "", v.dependencies.all_cancelled().size());
+  t.type("unresolved_prerequisites", "gauge", "prerequisites whose end is still to be read");
+  t.value("unresolved_prerequisites", "", controller.state_store().replica().unresolved().size());
   t.type("machines", "gauge", "machines assigned to a part, of all parts");
   t.value("machines", "", v.machines.size());
   t.type("part_term", "gauge", "term of each part owned here");
@@ -157,6 +184,7 @@
   w.Key("ready");
   w.Bool(controller.job_api().ready());
   count("open_jobs", v.jobs.size());
+  count("waiting_jobs", static_cast<std::uint64_t>(v.dependencies.waiting_count()));
   count("machines", v.machines.size());
   count("resident_bytes", resident_bytes());
   w.Key("parts");
@@ -185,6 +213,7 @@
     w.EndObject();
   }
   w.EndArray();
+  put_waiting(w, v);
   w.EndObject();
   return b.GetString();
 }
--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -30,6 +30,16 @@
   return it != peers_.end() && rt_.now() - it->second.at < k::kStatusStaleMs;
 }
 
+bool Owner::has_old_peer() const {
+  const auto& nodes = state_store_.view().nodes;
+  return std::any_of(s_.peers.begin(), s_.peers.end(), [&](const Peer& p) {
+    const auto node = nodes.find(p.name);
+    const auto peer = peers_.find(p.name);
+    return (node != nodes.end() && node->second.record.features == 0) ||
+           (peer_alive(p.name) && peer->second.status.features == 0);
+  });
+}
+
 std::map<int, PartNeed> Owner::needs() const {
   std::map<int, PartNeed> out;
   const Ms now = rt_.now();
@@ -346,6 +356,7 @@
       if (acting(part)) s.parts.emplace_back(part, o.core->need(now));
     s.use = state_store_.use();
     s.hears = hears();
+    s.features = k::kFeatures;
     hooks_.broadcast(s);
   }
 }
--- a/src/actors/owner.h
+++ b/src/actors/owner.h
@@ -38,7 +38,9 @@
   void peer_status(const std::string& node, const mesh::Status& s);
   void machines_gone(const std::vector<std::string>& machines);
   void job_opened(const std::string& id);
+  void job_ready(const std::string& id);
   void job_closed(const std::string& id);
+  void urgency_changed(const std::string& id);
   void machine_changed(const std::string& id);
   void part_changed(int part);
   void grant_lost();
@@ -51,6 +53,9 @@
   bool acting(int part) const;
   bool leading() const { return acting(0); }
   bool peer_alive(const std::string& node) const;
+  // Whether a peer is known to run a build that knows no prerequisites. A peer of which nothing is
+  // known is none: it may be away for long.
+  bool has_old_peer() const;
   // The newest need of every part, ours and the peers'.
   std::map<int, PartNeed> needs() const;
   std::map<int, const Part*> parts() const;
@@ -70,11 +75,13 @@
   struct FinalCommit {
     JobPhase phase = JobPhase::done;
     Commit commit;
+    std::vector<std::string> left_over;  // progress that its transaction had no room to delete
   };
   struct Flush {
     Ms last = 0;
     bool in_flight = false;
-    std::map<std::uint32_t, std::uint64_t> chunk_stamps;
+    std::map<std::string, std::uint64_t> progress_stamps;  // by key
+    bool cancel_asked = false;  // by its user, while it waited for other jobs
     // The final commit that was sent and is not proven undone: it may have landed, or still may.
     std::optional<FinalCommit> final_commit;
   };
@@ -83,6 +90,7 @@
     bool active = false;
     std::map<std::string, DeferredReply> deferred;
     std::map<std::string, Flush> flushes;
+    std::vector<std::string> unused_keys;  // to be deleted, see `sweep`
   };
   struct PeerNews {
     Ms at = 0;
@@ -120,6 +128,12 @@
                   const Commit& c);
   void send_kills(Owned& o);
   void kill_again(int part, std::uint64_t term, const std::string& machine);
+  void open_in(Owned& o, const std::string& id, const std::vector<std::uint32_t>& done);
+  void log_waiting(const std::string& id) const;
+  void ask_waiting(int part, const mesh::Ask& a, Reply reply);
+  void finish_waiting(int part, Owned& o);
+  void record_implied(int part, Owned& o);
+  void sweep(int part, Owned& o);
   void flush(int part, Owned& o);
   void flush_job(int part, Owned& o, const std::string& id);
   void finish(int part, const std::string& id, Reply reply);
@@ -147,6 +161,7 @@
   std::uint64_t next_promise_request_ = 0;
   std::map<std::string, PeerNews> peers_;
   std::vector<MachineType> types_;
+  bool sweeping_ = false;
   Ms last_status_ = 0;
   Ms silent_ = 0, listened_at_ = 0, probed_at_ = 0;  // see `listen`
   Counters counters_;
--- a/src/actors/owner_jobs.cc
+++ b/src/actors/owner_jobs.cc
@@ -11,13 +11,67 @@
   const auto& j = state_store_.view().jobs.at(id);
   Owned* o = owned(s_.part_of_team(j.spec.team));
   if (!o || !o->active) return;  // it will read the view
-  o->core->open_job(j.spec, j.stamp, j.stamp < o->core->term(), {});
+  if (state_store_.view().dependencies.waits(id)) return log_waiting(id);
+  open_in(*o, id, {});
   pump(*o);
 }
 
+void Owner::log_waiting(const std::string& id) const {
+  const auto& dependencies = state_store_.view().dependencies;
+  const auto first = dependencies.prerequisites_of(id, 1);
+  spdlog::info("job waiting job={} prerequisites={} first={} cancelled={}", id,
+               dependencies.prerequisite_count(id), first.empty() ? "-" : first.front(),
+               dependencies.cancelled(id));
+}
+
+// Invariant 11: the last of its prerequisites is durably done. Until now the part knew nothing of
+// the job: it took part in no limit, no guarantee, no need of machines.
+void Owner::job_ready(const std::string& id) {
+  const auto job = state_store_.view().jobs.find(id);
+  if (job == state_store_.view().jobs.end()) return;
+  Owned* o = owned(s_.part_of_team(job->second.spec.team));
+  if (!o || !o->active) return;
+  spdlog::info("job ready job={} term={}", id, o->core->term());
+  open_in(*o, id, {});
+  // Guard: its user has called it off while it waited, and that is still to be recorded.
+  if (auto f = o->flushes.find(id); f != o->flushes.end() && f->second.cancel_asked)
+    o->core->cancel_job(id);
+  pump(*o);
+}
+
+// Opens a job that is free to start. A job that became so after our claim never had a task under an
+// earlier owner, whenever it was accepted.
+void Owner::open_in(Owned& o, const std::string& id, const std::vector<std::uint32_t>& done) {
+  const View& v = state_store_.view();
+  const auto& job = v.jobs.at(id);
+  const auto readiness = v.dependencies.readiness(id);
+  const std::uint64_t free_since = readiness ? readiness->revision : job.stamp;
+  const bool older = free_since < o.core->term();
+  const Ms ready_at = readiness ? readiness->at : job.spec.accepted_at;
+  const Ms age = older || readiness ? std::max<Ms>(0, rt_.wall() - ready_at) : 0;
+  o.core->open_job(job.spec, job.stamp, older, done, age,
+                   std::max<Ms>(0, ready_at - job.spec.accepted_at));
+  urgency_changed(id);
+}
+
+void Owner::urgency_changed(const std::string& id) {
+  const auto urgency = state_store_.view().dependencies.urgency(id);
+  for (auto& [part, o] : owned_) {
+    if (!o.core->has_job(id)) continue;
+    if (!urgency) return o.core->set_urgency(id, Priority::best_effort, std::nullopt);
+    std::optional<Ms> finish_by = urgency->finish_by;
+    if (finish_by) *finish_by += rt_.now() - rt_.wall();
+    o.core->set_urgency(id, urgency->priority, finish_by);
+  }
+}
+
 void Owner::job_closed(const std::string& id) {
   for (auto& [part, o] : owned_) {
-    o.flushes.erase(id);
+    if (auto f = o.flushes.find(id); f != o.flushes.end()) {
+      if (f->second.final_commit)
+        for (auto& key : f->second.final_commit->left_over) o.unused_keys.push_back(std::move(key));
+      o.flushes.erase(f);
+    }
     if (!o.core->has_job(id)) continue;
     o.core->close_job(id);
     send_kills(o);
@@ -28,7 +82,9 @@
 void Owner::ask(const mesh::Ask& a, Reply reply) {
   const int part = part_of_job(a.job);
   Owned* o = part < 0 ? nullptr : acting_owned(part);
-  auto status = o ? o->core->status(a.job) : std::nullopt;
+  if (!o) return reply(0, "");
+  if (state_store_.view().dependencies.waits(a.job)) return ask_waiting(part, a, std::move(reply));
+  auto status = o->core->status(a.job);
   if (!status) return reply(0, "");
   if (!a.cancel) {
     // Guard: while a final commit may have landed, a peer may have read it and told its users. What
@@ -44,9 +100,29 @@
   finish(part, a.job, std::move(reply));
 }
 
+// A question about a job that waits for others. Invariant 12: its owner alone tells that it is
+// cancelled by implication, so that nobody tells older news after that, and whoever owns it next
+// knows all that this owner knew.
+void Owner::ask_waiting(int part, const mesh::Ask& a, Reply reply) {
+  if (state_store_.view().dependencies.cancelled(a.job))
+    return reply(200, a.cancel ? codec::job_answer(a.job, JobPhase::cancelled)
+                               : codec::job_status(a.job, {JobPhase::cancelled, 0, 0}));
+  Owned& o = owned_.at(part);
+  if (a.cancel) {
+    o.flushes[a.job].cancel_asked = true;
+    return finish(part, a.job, std::move(reply));
+  }
+  const auto f = o.flushes.find(a.job);
+  const bool may_be_final = f != o.flushes.end() && f->second.final_commit;
+  if (may_be_final || state_store_.replica().is_unresolved(a.job)) return reply(0, "");
+  reply(200, codec::job_status(a.job, {JobPhase::queued, 0, 0}));
+}
+
 std::vector<codec::Guard> Owner::job_guards(int part, const std::string& id) const {
-  const Part& core = *owned_.at(part).core;
-  return {{codec::part_key(part), core.term()}, {codec::job_key(id), core.job_stamp(id)}};
+  const auto& jobs = state_store_.view().jobs;
+  const auto job = jobs.find(id);
+  return {{codec::part_key(part), owned_.at(part).core->term()},
+          {codec::job_key(id), job == jobs.end() ? 0 : job->second.stamp}};
 }
 
 // Invariant 7: done and cancelled are told only after this commit. It is tried until its outcome
@@ -64,11 +140,16 @@
     c.nonce = state_store_.nonce();
     c.guards = job_guards(part, id);
     const JobPhase phase = o.core->complete(id) ? JobPhase::done : JobPhase::cancelled;
-    c.writes = {{codec::final_key(id), codec::encode_final(phase, c.nonce), false},
+    c.writes = {{codec::final_key(id), codec::encode_final(phase, rt_.wall(), c.nonce), false},
                 {codec::job_key(id), "", false}};
-    for (const auto& [chunk, stamp] : f.chunk_stamps)
-      c.writes.push_back({codec::done_key(part, id, chunk), "", false});
-    f.final_commit = {phase, std::move(c)};
+    std::vector<std::string> left_over;
+    for (const auto& [key, stamp] : f.progress_stamps) {
+      if (static_cast<int>(c.writes.size()) < s_.batch())
+        c.writes.push_back({key, "", false});
+      else
+        left_over.push_back(key);
+    }
+    f.final_commit = {phase, std::move(c), std::move(left_over)};
   }
   Commit c = f.final_commit->commit;
   c.done = [this, part, id, term, reply, phase = f.final_commit->phase](
@@ -112,48 +193,136 @@
       flush_job(part, o, id);
     }
   }
+  if (silent) return;
+  finish_waiting(part, o);
+  record_implied(part, o);
+  sweep(part, o);
+}
+
+// Jobs that were called off while they waited for others, as far as that is not proven yet.
+void Owner::finish_waiting(int part, Owned& o) {
+  std::vector<std::string> ids;
+  for (const auto& [id, f] : o.flushes)
+    if (f.cancel_asked && !f.in_flight && !o.core->has_job(id) &&
+        state_store_.view().jobs.count(id) && rt_.now() - f.last >= k::kFinishRetryMs)
+      ids.push_back(id);
+  for (const auto& id : ids) finish(part, id, [](int, std::string) {});
+}
+
+// Invariant 12: jobs that are cancelled by implication get records of their own, in batches, for as
+// long as they have none. Whoever else writes one writes the same.
+void Owner::record_implied(int part, Owned& o) {
+  const View& v = state_store_.view();
+  const auto most = static_cast<std::size_t>(std::max(1, s_.batch() / 2));
+  std::vector<std::string> ids;
+  for (const auto& id : v.dependencies.all_cancelled()) {
+    if (ids.size() == most) break;
+    if (part_of_job(id) != part) continue;
+    Flush& f = o.flushes[id];
+    if (!f.in_flight && (f.last == 0 || rt_.now() - f.last >= k::kFinishRetryMs)) ids.push_back(id);
+  }
+  if (ids.empty()) return;
+  Commit c;
+  c.pace = Pace::fleet;
+  c.nonce = state_store_.nonce();
+  c.guards = {{codec::part_key(part), o.core->term()}};
+  for (const auto& id : ids) {
+    o.flushes[id].in_flight = true;
+    c.guards.push_back({codec::job_key(id), v.jobs.at(id).stamp});
+    c.writes.push_back({codec::final_key(id),
+                        codec::encode_final(JobPhase::cancelled, rt_.wall(), c.nonce), false});
+    c.writes.push_back({codec::job_key(id), "", false});
+  }
+  c.done = [this, part, ids, term = o.core->term()](Outcome out, std::uint64_t) {
+    if (out == Outcome::ok)
+      for (const auto& id : ids) spdlog::info("job cancelled job={} reason=prerequisite", id);
+    Owned* o = owned(part);
+    if (!o || o->core->term() != term) return;
+    for (const auto& id : ids)
+      if (auto f = o->flushes.find(id); f != o->flushes.end()) {
+        f->second.in_flight = false;
+        f->second.last = rt_.now();
+      }
+  };
+  state_store_.commit(std::move(c));
 }
 
-// The done tasks of one job, in one batch. A chunk is guarded by its own stamp, so a late copy
-// of an earlier batch cannot undo a later one.
+// Keys that are of no more use: progress of jobs that are over, found at a takeover or left by a
+// final commit that was full; for the leader also spread prerequisites.
+void Owner::sweep(int part, Owned& o) {
+  if (sweeping_) return;
+  const auto most = static_cast<std::size_t>(s_.batch());
+  std::vector<std::string> keys;
+  while (!o.unused_keys.empty() && keys.size() < most) {
+    keys.push_back(std::move(o.unused_keys.back()));
+    o.unused_keys.pop_back();
+  }
+  if (keys.empty() && part == 0) keys = state_store_.replica().orphaned_parts(most);
+  if (keys.empty()) return;
+  sweeping_ = true;
+  Commit c;
+  c.pace = Pace::progress;
+  c.nonce = state_store_.nonce();
+  c.guards = {{codec::part_key(part), o.core->term()}};
+  for (const auto& key : keys) c.writes.push_back({key, "", false});
+  c.done = [this, part, keys, term = o.core->term()](Outcome out, std::uint64_t) {
+    sweeping_ = false;
+    Owned* o = owned(part);
+    if (out == Outcome::ok || !o || o->core->term() != term) return;
+    o->unused_keys.insert(o->unused_keys.end(), keys.begin(), keys.end());
+  };
+  state_store_.commit(std::move(c));
+}
+
+// The done tasks of one job, in one batch of at most a transaction; the rest goes with the next. A
+// value is guarded by its own stamp, so a late copy of an earlier batch cannot undo a later one.
 void Owner::flush_job(int part, Owned& o, const std::string& id) {
   Flush& f = o.flushes[id];
   f.in_flight = true;
   f.last = rt_.now();
-  const auto tasks = o.core->unrecorded(id);
-  std::set<std::uint32_t> chunks;
-  for (auto t : tasks) chunks.insert(t / k::kDoneChunk);
+  const std::uint32_t count = o.core->task_count(id);
+  const auto value_bytes = static_cast<std::size_t>(s_.state_value_kb * 1024);
+  const auto most = static_cast<std::size_t>(s_.batch());
+  std::vector<std::uint32_t> tasks;
+  std::set<codec::TaskRange> ranges;
+  for (auto task : o.core->unrecorded(id)) {
+    const codec::TaskRange range = codec::progress_range(task, count, value_bytes);
+    if (ranges.size() == most && !ranges.count(range)) break;
+    ranges.insert(range);
+    tasks.push_back(task);
+  }
   Commit c;
   c.pace = Pace::progress;
   c.nonce = state_store_.nonce();
   c.guards = job_guards(part, id);
-  for (auto chunk : chunks) {
-    auto stamp = f.chunk_stamps.find(chunk);
-    const std::string key = codec::done_key(part, id, chunk);
-    c.guards.push_back({key, stamp == f.chunk_stamps.end() ? 0 : stamp->second});
-    c.writes.push_back(
-        {key, codec::encode_done(o.core->done_in_chunk(id, chunk), chunk, c.nonce), false});
+  std::vector<std::string> keys;
+  for (const codec::TaskRange& range : ranges) {
+    const std::string key = codec::done_key(part, id, range);
+    const auto stamp = f.progress_stamps.find(key);
+    const auto done = o.core->done_among(id, range.first, range.count);
+    c.guards.push_back({key, stamp == f.progress_stamps.end() ? 0 : stamp->second});
+    c.writes.push_back({key, codec::encode_done(done, range, c.nonce), false});
+    keys.push_back(key);
   }
   const std::uint64_t term = o.core->term();
-  c.done = [this, part, id, term, tasks, chunks](Outcome out, std::uint64_t stamp) {
+  c.done = [this, part, id, term, tasks, keys](Outcome out, std::uint64_t stamp) {
     Owned* o = owned(part);
     if (!o || o->core->term() != term) return;
     auto f = o->flushes.find(id);
     if (f == o->flushes.end()) return;
     f->second.in_flight = false;
     if (out == Outcome::ok) {
-      for (auto chunk : chunks) f->second.chunk_stamps[chunk] = stamp;
+      for (const auto& key : keys) f->second.progress_stamps[key] = stamp;
       o->core->mark_recorded(id, tasks);
     } else if (out != Outcome::refused) {
       // Which batch stands there is not known: read the stamps before the next one.
-      for (auto chunk : chunks)
-        state_store_.read(codec::done_key(part, id, chunk),
-                          [this, part, id, term, chunk](auto row) {
-                            Owned* o = owned(part);
-                            if (!row || !o || o->core->term() != term) return;
-                            auto f = o->flushes.find(id);
-                            if (f != o->flushes.end()) f->second.chunk_stamps[chunk] = row->stamp;
-                          });
+      for (const auto& key : keys)
+        state_store_.read(key, [this, part, id, term, key](auto row) {
+          Owned* o = owned(part);
+          if (!row || !o || o->core->term() != term) return;
+          auto f = o->flushes.find(id);
+          if (f != o->flushes.end()) f->second.progress_stamps[key] = row->stamp;
+        });
     }
   };
   state_store_.commit(std::move(c));
--- a/src/actors/owner_parts.cc
+++ b/src/actors/owner_parts.cc
@@ -166,18 +166,19 @@
     std::map<std::string, std::vector<std::uint32_t>> done;
     for (const auto& r : *rows) {
       const std::string job = codec::done_key_job(r.key);
+      // Progress is written under a claim: of a job accepted before ours, so one that is not open
+      // is over.
+      if (!v.jobs.count(job)) o->unused_keys.push_back(r.key);
       if (!v.jobs.count(job) || !r.done) continue;
       done[job].insert(done[job].end(), r.done->tasks.begin(), r.done->tasks.end());
-      const auto chunk = static_cast<std::uint32_t>(std::stoul(codec::key_name(r.key)));
-      o->flushes[job].chunk_stamps[chunk] = r.stamp;
+      o->flushes[job].progress_stamps[r.key] = r.stamp;
     }
     const Ms now = rt_.now();
     for (const auto& [id, m] : v.machines)
       if (m.record.part == part) o->core->add_machine(id, m.stamp, m.stamp > stamp, now);
     for (const auto& [id, j] : v.jobs)
-      if (s_.part_of_team(j.spec.team) == part)
-        o->core->open_job(j.spec, j.stamp, j.stamp < stamp, done[id],
-                          std::max<Ms>(0, rt_.wall() - j.spec.accepted_at));
+      if (s_.part_of_team(j.spec.team) == part && !v.dependencies.waits(id))
+        open_in(*o, id, done[id]);
     o->active = true;
     spdlog::info("part active part={} term={} jobs={} machines={}", part, stamp,
                  o->core->job_count(), o->core->machine_names().size());
--- a/src/actors/replicated_view.cc
+++ b/src/actors/replicated_view.cc
@@ -1,6 +1,7 @@
 #include "actors/replicated_view.h"
 
 #include <cstdlib>
+#include <utility>
 
 namespace eiderreel {
 namespace {
@@ -20,7 +21,8 @@
 
 void ReplicatedView::followed(std::uint64_t ledger) {
   view_.ledger = ledger;
-  view_.ready = true;
+  if (std::exchange(view_.ready, true)) return;
+  find_unresolved();
 }
 
 void ReplicatedView::remove_missing(const std::set<std::string>& loaded, std::uint64_t ledger) {
@@ -34,6 +36,11 @@
     if (gone(codec::node_key(id))) missing.push_back(codec::node_key(id));
   for (const auto& [id, e] : view_.parts)
     if (gone(codec::part_key(id))) missing.push_back(codec::part_key(id));
+  for (const auto& [spread, parts] : spread_parts_)
+    for (const auto& [number, part] : parts) {
+      const std::string key = codec::prerequisite_key(spread.first, spread.second, number);
+      if (gone(key)) missing.push_back(key);
+    }
   for (const auto& key : missing) {
     codec::StateRow r;
     r.key = key;
@@ -43,9 +50,10 @@
   }
 }
 
-void ReplicatedView::remember_final(const std::string& id, JobPhase p, std::uint64_t stamp) {
-  if (!view_.finals.emplace(id, p).second) return;
-  closed_.push_back({id, p, stamp});
+void ReplicatedView::remember_final(const std::string& id, const DependencyGraph::End& end) {
+  unresolved_.erase(id);
+  if (!view_.finals.emplace(id, end).second) return;
+  closed_.push_back({id, end.phase, end.revision});
   if (closed_.size() > k::kClosedKept) {
     closed_from_ = std::max(closed_from_, closed_.front().stamp);
     closed_.pop_front();
@@ -55,6 +63,20 @@
     view_.finals.erase(final_order_.front());
     final_order_.pop_front();
   }
+  view_.dependencies.end(id, end);
+  publish(view_.dependencies.take_effects());
+}
+
+void ReplicatedView::publish(const DependencyGraph::Effects& effects) {
+  for (const auto& id : effects.ready) events_.job_ready(id);
+  for (const auto& id : effects.urgency_changed)
+    if (view_.jobs.count(id)) events_.urgency_changed(id);
+}
+
+// Once everything is loaded, what is known of no prerequisite will be told by no later change.
+void ReplicatedView::find_unresolved() {
+  for (const auto& id : view_.dependencies.prerequisites())
+    if (!view_.jobs.count(id)) unresolved_.insert(id);
 }
 
 std::optional<std::vector<ClosedJob>> ReplicatedView::closed_since(std::uint64_t ledger) const {
@@ -67,7 +89,7 @@
 
 void ReplicatedView::take_closed(const std::vector<ClosedJob>& closed) {
   for (const auto& c : closed) {
-    remember_final(c.id, c.phase, c.stamp);
+    remember_final(c.id, {c.phase, c.stamp, rt_.wall()});
     codec::StateRow record;
     record.key = codec::job_key(c.id);
     record.deleted = true;
@@ -91,17 +113,13 @@
 void ReplicatedView::apply(const codec::StateRow& row, bool announce) {
   const std::string name = codec::key_name(row.key);
   if (under(row.key, "e/job/")) {
-    auto it = view_.jobs.find(name);
-    if (row.deleted) {
-      if (it == view_.jobs.end() || it->second.stamp > row.stamp) return;
-      view_.jobs.erase(it);
-      if (announce) events_.job_closed(name);
-    } else if (row.job && it == view_.jobs.end() && !view_.finals.count(name)) {
-      view_.jobs[name] = {*row.job, row.stamp};
-      if (announce) events_.job_opened(name);
-    }
+    apply_job(name, row, announce);
+  } else if (under(row.key, "e/awaits/")) {
+    apply_part(row);
   } else if (under(row.key, "e/final/")) {
-    if (row.final_phase) remember_final(name, *row.final_phase, row.stamp);
+    // Earlier builds did not write the time: it is not later than its telling.
+    if (row.final_phase)
+      remember_final(name, {*row.final_phase, row.stamp, row.final_at.value_or(rt_.wall())});
   } else if (under(row.key, "e/machine/")) {
     auto& m = view_.machines;
     auto it = m.find(name);
@@ -130,6 +148,109 @@
   }
 }
 
+void ReplicatedView::apply_job(const std::string& id, const codec::StateRow& row, bool announce) {
+  auto it = view_.jobs.find(id);
+  if (!row.deleted) {
+    if (row.job && it == view_.jobs.end() && !view_.finals.count(id)) open_job(id, row, announce);
+    return;
+  }
+  incomplete_.erase(id);
+  if (it == view_.jobs.end() || it->second.stamp > row.stamp) return;
+  view_.jobs.erase(it);
+  view_.dependencies.close(id);
+  // Guard: after changes were missed its record may be gone without a word of its end.
+  if (view_.ready && !view_.finals.count(id) && view_.dependencies.is_prerequisite(id))
+    unresolved_.insert(id);
+  if (announce) events_.job_closed(id);
+  publish(view_.dependencies.take_effects());
+}
+
+void ReplicatedView::open_job(const std::string& id, const codec::StateRow& row, bool announce) {
+  codec::StateRow whole = row;
+  if (!take_parts(id, whole)) {
+    incomplete_[id] = row;
+    return;
+  }
+  incomplete_.erase(id);
+  unresolved_.erase(id);
+  View::JobEntry& entry = view_.jobs[id];
+  entry = {std::move(*whole.job), whole.stamp, whole.nonce};
+  if (!entry.spec.prerequisites.empty()) open_dependent(entry.spec, whole.stamp);
+  if (announce) events_.job_opened(id);
+  publish(view_.dependencies.take_effects());
+}
+
+void ReplicatedView::open_dependent(JobSpec& spec, std::uint64_t stamp) {
+  std::vector<std::string> pending;
+  std::vector<DependencyGraph::End> ended;
+  for (std::string& id : std::exchange(spec.prerequisites, {})) {
+    const auto end = view_.finals.find(id);
+    if (end != view_.finals.end()) {
+      ended.push_back(end->second);
+      continue;
+    }
+    if (view_.ready && !view_.jobs.count(id)) unresolved_.insert(id);
+    pending.push_back(std::move(id));
+  }
+  view_.dependencies.open(spec, stamp, pending, ended);
+}
+
+// ------------------------------------------------------------- prerequisites in several values
+
+// Adds the prerequisites that stand in values of their own; false while some are not here yet.
+bool ReplicatedView::take_parts(const std::string& id, codec::StateRow& row) {
+  if (row.prerequisite_parts == 0) return true;
+  const auto parts = spread_parts_.find({id, row.nonce});
+  if (parts == spread_parts_.end() || parts->second.size() < row.prerequisite_parts) return false;
+  auto& prerequisites = row.job->prerequisites;
+  for (auto& [number, part] : parts->second) {
+    prerequisites.insert(prerequisites.end(), part.jobs.begin(), part.jobs.end());
+    part.jobs = {};
+  }
+  return true;
+}
+
+void ReplicatedView::apply_part(const codec::StateRow& row) {
+  const auto key = codec::parse_prerequisite_key(row.key);
+  if (!key) return;
+  const SpreadKey spread{key->job, key->nonce};
+  if (row.deleted) {
+    auto parts = spread_parts_.find(spread);
+    if (parts == spread_parts_.end()) return;
+    parts->second.erase(key->part);
+    if (parts->second.empty()) spread_parts_.erase(parts);
+    return;
+  }
+  if (!row.prerequisites) return;
+  SpreadPart& part = spread_parts_[spread][key->part];
+  if (part.seen == 0) part.seen = rt_.now();
+  if (view_.jobs.count(key->job) || view_.finals.count(key->job)) return;  // of no more use
+  part.jobs = row.prerequisites->jobs;
+  if (const auto waiting = incomplete_.find(key->job); waiting != incomplete_.end())
+    open_job(key->job, codec::StateRow(waiting->second), view_.ready);
+}
+
+bool ReplicatedView::is_orphaned(const SpreadKey& key, const SpreadPart& part) const {
+  const auto& [id, nonce] = key;
+  if (view_.finals.count(id)) return true;
+  const auto job = view_.jobs.find(id);
+  if (job != view_.jobs.end()) return job->second.nonce != nonce;
+  return !incomplete_.count(id) && rt_.now() - part.seen >= k::kOrphanedPartsMs;
+}
+
+std::vector<std::string> ReplicatedView::orphaned_parts(std::size_t most) const {
+  std::vector<std::string> out;
+  for (const auto& [key, parts] : spread_parts_)
+    for (auto part = parts.rbegin(); part != parts.rend(); ++part) {
+      if (out.size() == most) return out;
+      if (is_orphaned(key, part->second))
+        out.push_back(codec::prerequisite_key(key.first, key.second, part->first));
+    }
+  return out;
+}
+
+// -------------------------------------------------------------------------------- own commits
+
 void ReplicatedView::apply_commit(const std::vector<codec::Write>& writes, std::uint64_t ledger) {
   // Puts first: the final record of a job must be known when its record goes.
   for (bool deletes : {false, true}) {
--- a/src/actors/replicated_view.h
+++ b/src/actors/replicated_view.h
@@ -14,6 +14,7 @@
 
 #include "actors/runtime.h"
 #include "codec/json.h"
+#include "core/dependency_graph.h"
 
 namespace eiderreel {
 
@@ -33,8 +34,9 @@
     Ms seen = 0;
   };
   struct JobEntry {
-    JobSpec spec;
+    JobSpec spec;  // its prerequisites are kept by the dependency graph alone
     std::uint64_t stamp = 0;
+    std::string nonce;  // of its record
   };
   bool ready = false;
   std::uint64_t ledger = 0;  // all changes up to here are in
@@ -42,14 +44,17 @@
   std::map<std::string, MachineEntry> machines;
   std::map<std::string, NodeEntry> nodes;
   std::unordered_map<std::string, JobEntry> jobs;
-  // Final phases, the most recent ones; a missing one is read, never taken for unknown.
-  std::unordered_map<std::string, JobPhase> finals;
+  DependencyGraph dependencies;  // of the open jobs that have prerequisites
+  // Ends of jobs, the most recent ones; a missing one is read, never taken for unknown.
+  std::unordered_map<std::string, DependencyGraph::End> finals;
 };
 
 class ReplicatedView {
  public:
   struct Events {
-    std::function<void(const std::string&id)> job_opened, job_closed, machine_changed;
+    using OfId = std::function<void(const std::string& id)>;
+    // A job is ready when its last prerequisite is done, and not only opened.
+    OfId job_opened, job_ready, job_closed, urgency_changed, machine_changed;
     std::function<void(int part)> part_changed;
   };
 
@@ -65,7 +70,16 @@
   void followed(std::uint64_t ledger);
   void apply(const codec::StateRow& row, bool announce);
   void apply_commit(const std::vector<codec::Write>& writes, std::uint64_t ledger);
-  void remember_final(const std::string& id, JobPhase p, std::uint64_t stamp);
+  void remember_final(const std::string& id, const DependencyGraph::End& end);
+  // Prerequisites of open jobs of which neither a record nor an end is known here. Their ends are
+  // to be read; see `StateStoreClient::read_ends`.
+  const std::set<std::string>& unresolved() const { return unresolved_; }
+  // Whether it is not known what became of a job that this one needs, directly or through others.
+  bool is_unresolved(const std::string& id) const {
+    return view_.dependencies.depends_on(id, unresolved_);
+  }
+  // Keys of spread prerequisites that belong to no open job.
+  std::vector<std::string> orphaned_parts(std::size_t most) const;
   // All jobs that this node knows to have ended after `ledger`; nullopt when it cannot tell.
   std::optional<std::vector<ClosedJob>> closed_since(std::uint64_t ledger) const;
   // What a peer knows to be over is over in our view too.
@@ -76,6 +90,21 @@
   void forget_node(const std::string& node) { view_.nodes.erase(node); }
 
  private:
+  struct SpreadPart {
+    std::vector<std::string> jobs;
+    Ms seen = 0;
+  };
+  using SpreadKey = std::pair<std::string, std::string>;  // job and nonce
+
+  void apply_job(const std::string& id, const codec::StateRow& row, bool announce);
+  void apply_part(const codec::StateRow& row);
+  void open_job(const std::string& id, const codec::StateRow& row, bool announce);
+  void open_dependent(JobSpec& spec, std::uint64_t stamp);
+  bool take_parts(const std::string& id, codec::StateRow& row);
+  bool is_orphaned(const SpreadKey& key, const SpreadPart& part) const;
+  void find_unresolved();
+  void publish(const DependencyGraph::Effects& effects);
+
   Runtime& rt_;
   Events events_;
   View view_;
@@ -83,6 +112,9 @@
   // Jobs that ended, as they were learnt; whole for all that ended after `closed_from_`.
   std::deque<ClosedJob> closed_;
   std::uint64_t closed_from_ = 0;
+  std::set<std::string> unresolved_;
+  std::map<SpreadKey, std::map<std::size_t, SpreadPart>> spread_parts_;
+  std::map<std::string, codec::StateRow> incomplete_;  // jobs that lack some of their parts
 };
 
 }  // namespace eiderreel
--- a/src/actors/settings.cc
+++ b/src/actors/settings.cc
@@ -78,6 +78,32 @@
   std::vector<std::string>& problems_;
 };
 
+void read_state_limits(Reader& r, const toml::table& t, const std::string& path, Settings& s) {
+  r.number(t, path, "rps", 1, 1e6, s.state_rps);
+  r.number(t, path, "write_rps", 1, 1e6, s.state_write_rps);
+  r.number(t, path, "value_kb", constants::kLeastValueKb, 1e6, s.state_value_kb);
+  r.whole(t, path, "txn_ops", constants::kLeastTransaction, 100000, s.state_txn_ops);
+}
+
+// The limits that the state service will have from some moment on, without notice: what fits into
+// both is all that is ever written, so no moment matters. What is missing stays as it is.
+void read_next_state_limits(Reader& r, const toml::table& state, Settings& s) {
+  const auto* next = state.get("next");
+  if (!next) return;
+  if (!next->is_table()) return r.problem("params.state.next", "must be a table");
+  toml::table whole = *next->as_table();
+  whole.emplace("rps", s.state_rps);
+  whole.emplace("write_rps", s.state_write_rps);
+  whole.emplace("value_kb", s.state_value_kb);
+  whole.emplace("txn_ops", s.state_txn_ops);
+  Settings later;
+  read_state_limits(r, whole, "params.state.next.", later);
+  s.state_rps = std::min(s.state_rps, later.state_rps);
+  s.state_write_rps = std::min(s.state_write_rps, later.state_write_rps);
+  s.state_value_kb = std::min(s.state_value_kb, later.state_value_kb);
+  s.state_txn_ops = std::min(s.state_txn_ops, later.state_txn_ops);
+}
+
 }  // namespace
 
 SettingsResult load_settings(const std::string& file) {
@@ -180,10 +206,8 @@
       r.problem("params.workers.lease_s", "must be above params.workers.report_s");
   }
   if (const auto* st = r.table(*p, "params.", "state")) {
-    r.number(*st, "params.state.", "rps", 1, 1e6, s.state_rps);
-    r.number(*st, "params.state.", "write_rps", 1, 1e6, s.state_write_rps);
-    r.number(*st, "params.state.", "value_kb", 6, 1e6, s.state_value_kb);
-    r.whole(*st, "params.state.", "txn_ops", 6, 100000, s.state_txn_ops);
+    read_state_limits(r, *st, "params.state.", s);
+    read_next_state_limits(r, *st, s);
   }
   if (const auto* c = r.table(*p, "params.", "cloud")) {
     r.number(*c, "params.cloud.", "rps", 0.1, 1e6, s.cloud_rps);
--- a/src/actors/settings.h
+++ b/src/actors/settings.h
@@ -24,6 +24,7 @@
   double guarantee_s = constants::kGuaranteeS;  // work within a guarantee starts by then
   std::map<std::string, double> wait_aims;      // by class: its tasks should start within so long
   double report_s = 1, lease_s = 10, cancel_s = 40;
+  // The lower of the limits as they are and as they will be (`state.next`).
   double state_rps = 50, state_write_rps = 20, state_value_kb = 8;
   int state_txn_ops = 16;
   double cloud_rps = 4, list_lag_s = 5;
--- a/src/actors/state_store_client.cc
+++ b/src/actors/state_store_client.cc
@@ -10,7 +10,8 @@
 
 namespace k = constants;
 
-const std::array<std::string, 4> kFollowed = {"e/job/", "e/machine/", "e/node/", "e/part/"};
+const std::array<std::string, 5> kFollowed = {"e/awaits/", "e/job/", "e/machine/", "e/node/",
+                                              "e/part/"};
 
 // In doubt: no answer, or one that does not tell whether the request was carried out.
 bool in_doubt(int status) { return status == 0 || (status >= 500 && status != 503); }
@@ -93,6 +94,7 @@
   pump();
   if (!view().ready) return;
   const Ms now = rt_.now();
+  resolve();
   if (grant_ == 0) {
     get_grant();
   } else if (!extending_ && now - last_extend_ >= k::kExtendEveryMs) {
@@ -103,7 +105,8 @@
     Commit c;
     c.nonce = nonce();
     c.writes = {{codec::node_key(s_.node),
-                 codec::encode(codec::NodeRecord{rt_.boot_id(), grant_}, c.nonce), true}};
+                 codec::encode(codec::NodeRecord{rt_.boot_id(), grant_, k::kFeatures}, c.nonce),
+                 true}};
     c.pace = Pace::urgent;
     c.done = [this](Outcome o, std::uint64_t) {
       node_written_ = o == Outcome::ok;
@@ -331,50 +334,4 @@
   });
 }
 
-void StateStoreClient::read(const std::string& key,
-                            std::function<void(std::optional<codec::StateRow>)> done) {
-  submit({{"", "GET", "/kv/" + key, "", k::kStateTimeoutMs},
-          0,
-          Pace::user,
-          0,
-          [key, done = std::move(done)](HttpReply r) {
-            if (r.status == 404) {
-              codec::StateRow none;
-              none.key = key;
-              done(none);
-            } else {
-              done(r.status == 200 ? codec::parse_row(r.body) : std::nullopt);
-            }
-          }});
-}
-
-void StateStoreClient::list(const std::string& prefix,
-                            std::function<void(std::optional<std::vector<codec::StateRow>>)> done) {
-  list_from(prefix, "", std::make_shared<std::vector<codec::StateRow>>(), std::move(done));
-}
-
-void StateStoreClient::list_from(
-    const std::string& prefix, const std::string& since,
-    std::shared_ptr<std::vector<codec::StateRow>> rows,
-    std::function<void(std::optional<std::vector<codec::StateRow>>)> done) {
-  std::string path = "/kv?prefix=" + prefix + "&page=" + std::to_string(k::kListPage);
-  if (!since.empty()) path += "&since=" + since;
-  submit({{"", "GET", path, "", k::kStateTimeoutMs * 2},
-          0,
-          Pace::urgent,
-          0,
-          [this, prefix, rows, done = std::move(done)](HttpReply r) {
-            auto page = r.status == 200 ? codec::parse_list(r.body) : std::nullopt;
-            if (!page) {
-              done(std::nullopt);
-              return;
-            }
-            rows->insert(rows->end(), page->rows.begin(), page->rows.end());
-            if (page->more && !page->rows.empty())
-              list_from(prefix, page->rows.back().key, rows, done);
-            else
-              done(std::move(*rows));
-          }});
-}
-
 }  // namespace eiderreel
--- a/src/actors/state_store_client.h
+++ b/src/actors/state_store_client.h
@@ -49,6 +49,7 @@
 
   const View& view() const { return replica_.view(); }
   ReplicatedView& replica() { return replica_; }
+  const ReplicatedView& replica() const { return replica_; }
   std::uint64_t grant() const { return grant_; }
   // Invariant 6: counted from the sending of the last good extend, less drift.
   bool grant_alive() const { return grant_ != 0 && rt_.now() < alive_until_; }
@@ -61,6 +62,15 @@
   void read(const std::string& key, std::function<void(std::optional<codec::StateRow>)> done);
   void list(const std::string& prefix,
             std::function<void(std::optional<std::vector<codec::StateRow>>)> done);
+  // Reads the final records of these jobs into the view, as far as there are any; false: some could
+  // not be read.
+  void read_ends(std::vector<std::string> ids, std::function<void(bool)> done);
+  // Which of these jobs were ever accepted; nullopt when the state service does not tell.
+  void find_accepted(std::vector<std::string> ids,
+                     std::function<void(std::optional<std::set<std::string>>)> done);
+  // Calls back once the view has all changes that were made before this call; false when the state
+  // service does not tell.
+  void catch_up(std::function<void(bool)> done);
   // Calls back once the view has all changes up to `ledger`.
   void when_seen(std::uint64_t ledger, std::function<void()> done);
   // What this node takes of the budgets, for its peers; and what a peer has said that it takes.
@@ -77,6 +87,18 @@
     Ms expires = 0;
     std::function<void(HttpReply)> done;
   };
+  struct Comparison {  // the answer to a transaction without writes
+    std::vector<std::string> failed;
+    std::uint64_t ledger = 0;
+  };
+  void compare(std::vector<codec::Guard> guards, Pace pace,
+               std::function<void(std::optional<Comparison>)> done);
+  void resolve();
+  void read_next_ends(std::shared_ptr<std::vector<std::string>> ids,
+                      std::function<void(bool)> done);
+  void find_next_accepted(std::shared_ptr<std::vector<std::string>> ids, std::size_t from,
+                          std::shared_ptr<std::set<std::string>> found,
+                          std::function<void(std::optional<std::set<std::string>>)> done);
   void submit(Pending p);
   void enqueue(Pending p);
   void pump();
@@ -100,6 +122,8 @@
   std::uint64_t grant_ = 0;
   Ms alive_until_ = 0, last_extend_ = 0, last_good_ = 0;
   bool granting_ = false, extending_ = false, node_written_ = false, writing_node_ = false;
+  bool resolving_ = false;
+  Ms resolve_at_ = 0;
   std::uint64_t follow_since_ = 0;
   std::set<std::string> loaded_;  // keys met while listing anew
   std::deque<Pending> queue_;
--- a/src/cli/status.cc
+++ b/src/cli/status.cc
@@ -29,6 +29,20 @@
   return fmt::format("{:.0f}", it->value.GetDouble());
 }
 
+// Jobs that wait for other jobs, and the first few of those; earlier builds do not tell.
+void print_waiting(const rapidjson::Document& d) {
+  if (!d.HasMember("waiting") || !d["waiting"].IsArray() || d["waiting"].Empty()) return;
+  std::cout << fmt::format("\n{:<15}{:<15}{}\n", "waiting job", "prerequisites", "first");
+  for (const auto& row : d["waiting"].GetArray()) {
+    std::string first;
+    if (row.HasMember("first") && row["first"].IsArray())
+      for (const auto& id : row["first"].GetArray())
+        if (id.IsString()) first += std::string(id.GetString()) + " ";
+    std::cout << fmt::format("{:<15}{:<15}{}\n", cell(row, "job"), cell(row, "prerequisites"),
+                             first);
+  }
+}
+
 bool print_table(const rapidjson::Document& d) {
   if (!d.IsObject() || !d.HasMember("node") || !d["node"].IsString() || !d.HasMember("ready") ||
       !d["ready"].IsBool() || !d.HasMember("parts") || !d["parts"].IsArray() ||
@@ -47,6 +61,7 @@
     for (const char* c : columns) std::cout << fmt::format("{:<15}", cell(row, c));
     std::cout << "\n";
   }
+  print_waiting(d);
   return true;
 }
 
--- a/src/codec/job_json.cc
+++ b/src/codec/job_json.cc
@@ -1,6 +1,8 @@
 // Jobs as users submit and see them.
 #include <rapidjson/error/en.h>
 
+#include <set>
+
 #include "codec/json.h"
 #include "codec/json_fields.h"
 
@@ -92,6 +94,27 @@
   put(w, "at_ms", static_cast<std::uint64_t>(j.accepted_at));
 }
 
+bool parse_job_ids(const Value& d, const char* name, std::vector<std::string>& out) {
+  const Value* list = field(d, name);
+  if (!list) return true;
+  if (!list->IsArray()) return false;
+  std::set<std::string> seen;
+  for (const auto& e : list->GetArray()) {
+    if (!e.IsString()) return false;
+    std::string id(e.GetString(), e.GetStringLength());
+    if (!valid_job_id(id)) return false;
+    if (seen.insert(id).second) out.push_back(std::move(id));
+  }
+  return true;
+}
+
+void put_job_ids(Writer& w, const char* name, const std::vector<std::string>& ids) {
+  w.Key(name);
+  w.StartArray();
+  for (const auto& id : ids) w.String(id.data(), static_cast<rapidjson::SizeType>(id.size()));
+  w.EndArray();
+}
+
 }  // namespace fields
 
 bool valid_job_id(const std::string& id) {
@@ -108,6 +131,7 @@
   JobSpec j;
   std::string bad = parse_spec(d, j);
   if (!bad.empty()) return {std::nullopt, "field " + bad + " is missing or invalid"};
+  if (!parse_job_ids(d, "awaits", j.prerequisites)) return {j, "field awaits is invalid"};
   return {j, ""};
 }
 
--- a/src/codec/json.h
+++ b/src/codec/json.h
@@ -12,8 +12,9 @@
 
 // --- users ---
 struct ParsedJob {
+  // Also there if the prerequisites alone are invalid: the job may be known, whatever they say.
   std::optional<JobSpec> spec;
-  std::string error;  // why there is none
+  std::string error;  // what is wrong; empty: nothing
 };
 ParsedJob parse_job(const std::string& body);
 bool valid_job_id(const std::string& id);
@@ -60,16 +61,32 @@
 struct NodeRecord {
   std::string boot;
   std::uint64_t grant = 0;
+  std::uint64_t features = 0;  // see constants::kFeatures; 0: a build from before there were any
 };
 struct DoneRecord {
   std::vector<std::uint32_t> tasks;
 };
+// Prerequisites of a job that names more than fit into its record.
+struct PrerequisitePart {
+  std::vector<std::string> jobs;
+};
+// Tasks of a job whose progress shares a value. A job with more tasks than fit into one has
+// several.
+struct TaskRange {
+  std::uint32_t first = 0, count = 0;
+  auto operator<=>(const TaskRange&) const = default;
+};
+// The range that holds a task, for values of at most so many bytes.
+TaskRange progress_range(std::uint32_t task, std::uint32_t tasks, std::size_t value_bytes);
 std::string encode(const PartRecord& r, const std::string& nonce);
 std::string encode(const MachineRecord& r, const std::string& nonce);
 std::string encode(const NodeRecord& r, const std::string& nonce);
 std::string encode(const JobSpec& r, const std::string& nonce);
-std::string encode_final(JobPhase p, const std::string& nonce);
-std::string encode_done(const std::vector<std::uint32_t>& tasks, std::uint32_t chunk,
+// The record of a job whose prerequisites stand in so many values of their own.
+std::string encode_spread(const JobSpec& r, std::size_t parts, const std::string& nonce);
+std::string encode(const PrerequisitePart& r, const std::string& nonce);
+std::string encode_final(JobPhase p, Ms at, const std::string& nonce);
+std::string encode_done(const std::vector<std::uint32_t>& tasks, TaskRange range,
                         const std::string& nonce);
 
 struct StateRow {
@@ -82,8 +99,15 @@
   std::optional<MachineRecord> machine;
   std::optional<NodeRecord> node;
   std::optional<JobSpec> job;
+  std::size_t prerequisite_parts = 0;  // of the job's prerequisites, where they are spread
+  std::optional<PrerequisitePart> prerequisites;
   std::optional<JobPhase> final_phase;
+  std::optional<Ms> final_at;  // time of day; earlier builds did not write it
   std::optional<DoneRecord> done;
+
+  bool has_prerequisites() const {
+    return prerequisite_parts > 0 || (job && !job->prerequisites.empty());
+  }
 };
 struct StateList {
   std::vector<StateRow> rows;
@@ -96,6 +120,8 @@
 // A key's row as the state service would show it, for a commit of our own.
 std::string stored_row(const std::string& key, const std::string& value, std::uint64_t stamp);
 std::optional<std::uint64_t> parse_number(const std::string& body, const char* field);
+// The keys whose guards have failed, of an answer to a commit.
+std::vector<std::string> parse_failed(const std::string& body);
 
 struct Write {
   std::string key;
@@ -117,7 +143,17 @@
 std::string job_key(const std::string& id);
 std::string final_key(const std::string& id);
 std::string done_prefix(int part);
-std::string done_key(int part, const std::string& id, std::uint32_t chunk);
+std::string done_key(int part, const std::string& id, TaskRange range);
+// The last key that comes before the final record of this job.
+std::string before_final_key(const std::string& id);
+// Where the prerequisites of a job are kept that do not fit into its record; the nonce is the
+// record's, so that parts of another try are never taken for its own.
+std::string prerequisite_key(const std::string& id, const std::string& nonce, std::size_t part);
+struct PrerequisiteKey {
+  std::string job, nonce;
+  std::size_t part = 0;
+};
+std::optional<PrerequisiteKey> parse_prerequisite_key(const std::string& key);
 // The last segment of a key, and for done keys the job's id.
 std::string key_name(const std::string& key);
 std::string done_key_job(const std::string& key);
--- a/src/codec/json_fields.h
+++ b/src/codec/json_fields.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/types.h"
 
@@ -91,6 +92,9 @@
 // The job in the form in which users submit it; its record in the state service has the same.
 // The name of the first field that is missing or invalid; empty: none is.
 std::string parse_spec(const Value& d, JobSpec& j);
+// A list of job ids, each taken once; false: it is none. Missing or null, it is empty.
+bool parse_job_ids(const Value& d, const char* name, std::vector<std::string>& out);
+void put_job_ids(Writer& w, const char* name, const std::vector<std::string>& ids);
 void put_spec(Writer& w, const JobSpec& j);
 
 }  // namespace eiderreel::codec::fields
--- a/src/codec/mesh.capnp
+++ b/src/codec/mesh.capnp
@@ -36,6 +36,7 @@
   requests @1 :Float64;           # of the state service, a second, that the sender takes
   changes @2 :Float64;
   hears @3 :Bool = true;          # whether the sender hears of workers
+  features @4 :UInt64;            # of the sender's build; 0: from before there were any
 }
 
 struct Need {
--- a/src/codec/mesh.cc
+++ b/src/codec/mesh.cc
@@ -41,6 +41,7 @@
     status.setRequests(m.use.requests);
     status.setChanges(m.use.changes);
     status.setHears(m.hears);
+    status.setFeatures(m.features);
     auto list = status.initParts(static_cast<unsigned>(m.parts.size()));
     for (unsigned i = 0; i < m.parts.size(); ++i) {
       const auto& [part, n] = m.parts[i];
@@ -113,6 +114,7 @@
   Status s;
   s.use = {r.getRequests(), r.getChanges()};
   s.hears = r.getHears();
+  s.features = r.getFeatures();
   for (auto b : r.getParts()) {
     PartNeed n;
     n.waiting_cpus = b.getWaitingCpus();
--- a/src/codec/mesh.h
+++ b/src/codec/mesh.h
@@ -21,8 +21,9 @@
 };
 struct Status {
   std::vector<std::pair<int, PartNeed>> parts;
-  BudgetUse use;      // of the state service by the sender
-  bool hears = true;  // whether it hears of workers
+  BudgetUse use;               // of the state service by the sender
+  bool hears = true;           // whether it hears of workers
+  std::uint64_t features = 0;  // of the sender's build, see constants::kFeatures
 };
 struct Move {
   int part = 0, to = -1;
--- a/src/codec/state_json.cc
+++ b/src/codec/state_json.cc
@@ -8,8 +8,12 @@
 
 namespace {
 
+constexpr char kNestedJob[] = "job";
+constexpr char kPrerequisiteParts[] = "awaits_parts";
+
 // Runs of indexes as [first, length] pairs would be short for most jobs and long for a few; bits
 // have one size. base64 keeps 4 KiB of them within the value limit.
+constexpr std::uint32_t kBitsPerDigit = 6;
 const char kDigits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
 
 std::string pack_bits(const std::vector<std::uint32_t>& tasks, std::uint32_t from) {
@@ -33,6 +37,40 @@
   return out;
 }
 
+// The record of a job without prerequisites is the job; one with prerequisites holds it.
+void read_job(const Value& v, StateRow& r) {
+  const Value* nested = field(v, kNestedJob);
+  const Value& job = nested && nested->IsObject() ? *nested : v;
+  JobSpec spec;
+  std::uint64_t at = 0, parts = 0;
+  if (get(job, "at_ms", at)) spec.accepted_at = static_cast<Ms>(at);
+  if (!parse_spec(job, spec).empty()) return;
+  if (nested && !parse_job_ids(v, "awaits", spec.prerequisites)) return;
+  if (get(v, kPrerequisiteParts, parts)) r.prerequisite_parts = parts;
+  r.job = std::move(spec);
+}
+
+// Earlier builds write whole chunks and name them by number.
+void read_progress(const Value& v, StateRow& r) {
+  std::string bits;
+  std::uint64_t chunk = 0, first = 0;
+  if (!get(v, "bits", bits)) return;
+  if (get(v, "chunk", chunk))
+    first = chunk * constants::kDoneChunk;
+  else if (!get(v, "first", first))
+    return;
+  r.done = DoneRecord{unpack_bits(bits, static_cast<std::uint32_t>(first))};
+}
+
+// Guard: a build that knows no prerequisites would start the job at once. It finds none of the
+// job's fields in such a record, and leaves the job alone.
+void put_nested_job(Writer& w, const JobSpec& job) {
+  w.Key(kNestedJob);
+  w.StartObject();
+  put_spec(w, job);
+  w.EndObject();
+}
+
 void read_value(const Value& v, StateRow& r) {
   if (!v.IsObject()) return;
   get(v, "n", r.nonce);
@@ -49,21 +87,20 @@
     }
   } else if (starts_with(r.key, "e/node/")) {
     NodeRecord n;
+    get(v, "features", n.features);
     if (get(v, "boot", n.boot) && get(v, "grant", n.grant)) r.node = n;
   } else if (starts_with(r.key, "e/job/")) {
-    JobSpec j;
-    std::uint64_t at = 0;
-    if (get(v, "at_ms", at)) j.accepted_at = static_cast<Ms>(at);
-    if (parse_spec(v, j).empty()) r.job = j;
+    read_job(v, r);
+  } else if (starts_with(r.key, "e/awaits/")) {
+    PrerequisitePart part;
+    if (parse_job_ids(v, "awaits", part.jobs)) r.prerequisites = std::move(part);
   } else if (starts_with(r.key, "e/final/")) {
     std::string p;
+    std::uint64_t at = 0;
     if (get(v, "phase", p)) r.final_phase = named<JobPhase>(p, kJobPhases);
+    if (get(v, "at_ms", at)) r.final_at = static_cast<Ms>(at);
   } else if (starts_with(r.key, "d/")) {
-    std::string bits;
-    std::uint64_t chunk = 0;
-    if (get(v, "bits", bits) && get(v, "chunk", chunk))
-      r.done =
-          DoneRecord{unpack_bits(bits, static_cast<std::uint32_t>(chunk) * constants::kDoneChunk)};
+    read_progress(v, r);
   }
 }
 
@@ -118,29 +155,60 @@
     put(w, "n", nonce);
     put(w, "boot", r.boot);
     put(w, "grant", r.grant);
+    if (r.features > 0) put(w, "features", r.features);
   });
 }
 std::string encode(const JobSpec& r, const std::string& nonce) {
   return object([&](Writer& w) {
     put(w, "n", nonce);
-    put_spec(w, r);
+    if (r.prerequisites.empty()) return put_spec(w, r);
+    put_job_ids(w, "awaits", r.prerequisites);
+    put_nested_job(w, r);
+  });
+}
+std::string encode_spread(const JobSpec& r, std::size_t parts, const std::string& nonce) {
+  return object([&](Writer& w) {
+    put(w, "n", nonce);
+    put(w, kPrerequisiteParts, static_cast<std::uint64_t>(parts));
+    put_nested_job(w, r);
   });
 }
-std::string encode_final(JobPhase p, const std::string& nonce) {
+std::string encode(const PrerequisitePart& r, const std::string& nonce) {
+  return object([&](Writer& w) {
+    put(w, "n", nonce);
+    put_job_ids(w, "awaits", r.jobs);
+  });
+}
+std::string encode_final(JobPhase p, Ms at, const std::string& nonce) {
   return object([&](Writer& w) {
     put(w, "n", nonce);
     put(w, "phase", std::string(phase_name(p)));
+    put(w, "at_ms", static_cast<std::uint64_t>(at));
   });
 }
-std::string encode_done(const std::vector<std::uint32_t>& tasks, std::uint32_t chunk,
+std::string encode_done(const std::vector<std::uint32_t>& tasks, TaskRange range,
                         const std::string& nonce) {
   return object([&](Writer& w) {
     put(w, "n", nonce);
-    put(w, "chunk", std::uint64_t{chunk});
-    put(w, "bits", pack_bits(tasks, chunk * constants::kDoneChunk));
+    if (range.count == constants::kDoneChunk)
+      put(w, "chunk", std::uint64_t{range.first / constants::kDoneChunk});
+    else
+      put(w, "first", std::uint64_t{range.first});
+    put(w, "bits", pack_bits(tasks, range.first));
   });
 }
 
+// Whole chunks, as earlier builds have them, wherever those fit.
+TaskRange progress_range(std::uint32_t task, std::uint32_t tasks, std::size_t value_bytes) {
+  const std::uint32_t largest = std::min(tasks, constants::kDoneChunk);
+  const std::size_t digits = value_bytes - std::min(value_bytes, constants::kProgressOverhead);
+  std::uint32_t count = constants::kDoneChunk;
+  if ((largest + kBitsPerDigit - 1) / kBitsPerDigit > digits)
+    count =
+        std::max<std::uint32_t>(static_cast<std::uint32_t>(digits) * kBitsPerDigit, kBitsPerDigit);
+  return {task / count * count, count};
+}
+
 std::optional<StateList> parse_list(const std::string& body) { return parse_rows(body, "rows"); }
 std::optional<StateList> parse_events(const std::string& body) {
   return parse_rows(body, "events");
@@ -170,6 +238,17 @@
   return n;
 }
 
+std::vector<std::string> parse_failed(const std::string& body) {
+  Doc d;
+  std::vector<std::string> out;
+  if (!parse(d, body)) return out;
+  const Value* keys = field(d, "failed");
+  if (!keys || !keys->IsArray()) return out;
+  for (const auto& key : keys->GetArray())
+    if (key.IsString()) out.emplace_back(key.GetString(), key.GetStringLength());
+  return out;
+}
+
 std::string commit_body(const std::vector<Guard>& guards, const std::vector<Write>& writes,
                         std::uint64_t grant) {
   return object([&](Writer& w) {
@@ -210,8 +289,31 @@
 std::string job_key(const std::string& id) { return "e/job/" + id; }
 std::string final_key(const std::string& id) { return "e/final/" + id; }
 std::string done_prefix(int part) { return "d/" + std::to_string(part) + "/"; }
-std::string done_key(int part, const std::string& id, std::uint32_t chunk) {
-  return done_prefix(part) + id + "/" + std::to_string(chunk);
+std::string done_key(int part, const std::string& id, TaskRange range) {
+  const std::string name = range.count == constants::kDoneChunk
+                               ? std::to_string(range.first / constants::kDoneChunk)
+                               : "p" + std::to_string(range.first);
+  return done_prefix(part) + id + "/" + name;
+}
+std::string before_final_key(const std::string& id) {
+  std::string key = final_key(id);
+  --key.back();
+  return key + "~";  // after every id that begins with this, and before the next one
+}
+std::string prerequisite_key(const std::string& id, const std::string& nonce, std::size_t part) {
+  return "e/awaits/" + id + "/" + nonce + "/" + std::to_string(part);
+}
+std::optional<PrerequisiteKey> parse_prerequisite_key(const std::string& key) {
+  static const std::string prefix = "e/awaits/";
+  if (!starts_with(key, prefix.c_str())) return std::nullopt;
+  const auto job_end = key.find('/', prefix.size());
+  const auto nonce_end = key.rfind('/');
+  if (job_end == std::string::npos || nonce_end <= job_end) return std::nullopt;
+  const std::string part = key.substr(nonce_end + 1);
+  if (part.empty() || part.find_first_not_of("0123456789") != std::string::npos || part.size() > 6)
+    return std::nullopt;
+  return PrerequisiteKey{key.substr(prefix.size(), job_end - prefix.size()),
+                         key.substr(job_end + 1, nonce_end - job_end - 1), std::stoul(part)};
 }
 std::string key_name(const std::string& key) { return key.substr(key.rfind('/') + 1); }
 std::string done_key_job(const std::string& key) {
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -141,7 +141,7 @@
 // -------------------------------------------------------------------------------- jobs
 
 void Part::open_job(const JobSpec& spec, std::uint64_t stamp, bool older,
-                    const std::vector<std::uint32_t>& done, Ms age) {
+                    const std::vector<std::uint32_t>& done, Ms age, Ms waited) {
   if (jobs_.count(spec.id)) return;
   auto j = std::make_unique<Job>();
   j->spec = spec;
@@ -161,27 +161,47 @@
       ++j->done;
     }
   if (spec.deadline_s && spec.kind == Kind::array) {
-    const double slack = std::max(0.0, *spec.deadline_s - spec.estimate_s);
+    const double left_s = *spec.deadline_s - static_cast<double>(waited) / 1000;
+    const double slack = std::max(0.0, left_s - spec.estimate_s);
     slack_s_ = slack_s_ == 0 ? slack : slack_s_ + (slack - slack_s_) * constants::kSlackWeight;
   }
   if (auto wait = limits_.waits.find(spec.jobclass);
       wait != limits_.waits.end() && wait->second > 0 && spec.kind == Kind::array)
     wait_s_ = wait_s_ == 0 ? wait->second : std::min(wait_s_, wait->second);
-  j->accepted = now_ - age;
+  j->ready = now_ - age;
+  j->submitted = j->ready - waited;
+  j->priority = spec.priority;
   j->begun = j->done > 0;
-  if (auto aims = limits_.aims.find(spec.jobclass); aims != limits_.aims.end())
-    for (const FinishAim& aim : aims->second) {
-      const double s = aim.times > 0 ? aim.times * spec.deadline_s.value_or(0) : aim.within_s;
-      if (s > 0) j->bounds.push_back(j->accepted + static_cast<Ms>(s * 1000));
-    }
-  if (j->bounds.empty() && spec.deadline_s)
-    j->bounds.push_back(j->accepted + static_cast<Ms>(*spec.deadline_s * 1000));
-  std::sort(j->bounds.begin(), j->bounds.end());
+  set_bounds(*j);
   order_.push_back(j.get());
   reorder(now_);
   jobs_[spec.id] = std::move(j);
 }
 
+void Part::set_bounds(Job& j) const {
+  j.bounds.clear();
+  const double due_s = j.spec.deadline_s.value_or(0);
+  auto add = [&](Ms from, double s) {
+    if (s > 0) j.bounds.push_back(from + static_cast<Ms>(s * 1000));
+  };
+  if (auto aims = limits_.aims.find(j.spec.jobclass); aims != limits_.aims.end())
+    for (const FinishAim& aim : aims->second)
+      aim.times > 0 ? add(j.submitted, aim.times * due_s) : add(j.ready, aim.within_s);
+  if (j.bounds.empty()) add(j.submitted, due_s);
+  if (j.finish_by) j.bounds.push_back(*j.finish_by);
+  std::sort(j.bounds.begin(), j.bounds.end());
+}
+
+void Part::set_urgency(const std::string& id, Priority priority, std::optional<Ms> finish_by) {
+  auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  Job& j = *it->second;
+  j.priority = std::max(j.spec.priority, priority);
+  j.finish_by = finish_by;
+  set_bounds(j);
+  reorder(now_);
+}
+
 std::optional<JobStatus> Part::status(const std::string& id) const {
   auto it = jobs_.find(id);
   if (it == jobs_.end()) return std::nullopt;
@@ -266,14 +286,14 @@
   return out;
 }
 
-std::vector<std::uint32_t> Part::done_in_chunk(const std::string& id, std::uint32_t chunk) const {
+std::vector<std::uint32_t> Part::done_among(const std::string& id, std::uint32_t first,
+                                            std::uint32_t count) const {
   std::vector<std::uint32_t> out;
   auto it = jobs_.find(id);
   if (it == jobs_.end()) return out;
   const Job& j = *it->second;
-  std::uint32_t from = chunk * constants::kDoneChunk;
-  std::uint32_t to = std::min(j.spec.tasks, from + constants::kDoneChunk);
-  for (std::uint32_t i = from; i < to; ++i)
+  const std::uint32_t end = std::min(j.spec.tasks, first + count);
+  for (std::uint32_t i = first; i < end; ++i)
     if (j.state[i] >= State::done) out.push_back(i);
   return out;
 }
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -83,10 +83,14 @@
   void shed(double cpus, bool drain, Ms now);
 
   // --- jobs ---
-  // `age`: how long ago it was accepted. `done`: indexes recorded as done. `older`: accepted before
-  // our claim, so its tasks may run on any machine we have not heard of yet.
+  // Invariant 11: only a job whose prerequisites are all done is opened here.
+  // `age`: how long ago it was free to start. `waited`: how long before that it was accepted; its
+  // deadline counts from then. `done`: indexes recorded as done. `older`: it was free to start
+  // before our claim, so its tasks may run on any machine we have not heard of yet.
   void open_job(const JobSpec& spec, std::uint64_t stamp, bool older,
-                const std::vector<std::uint32_t>& done, Ms age = 0);
+                const std::vector<std::uint32_t>& done, Ms age = 0, Ms waited = 0);
+  // What the jobs that wait for this one ask of it: at least this priority, and to be over by then.
+  void set_urgency(const std::string& id, Priority priority, std::optional<Ms> finish_by);
   bool has_job(const std::string& id) const { return jobs_.count(id) > 0; }
   std::optional<JobStatus> status(const std::string& id) const;
   std::uint64_t job_stamp(const std::string& id) const;
@@ -98,7 +102,9 @@
   std::vector<std::uint32_t> unrecorded(const std::string& id) const;
   void mark_recorded(const std::string& id, const std::vector<std::uint32_t>& tasks);
   std::vector<std::string> jobs_to_record() const;  // also the complete and held, not final yet
-  std::vector<std::uint32_t> done_in_chunk(const std::string& id, std::uint32_t chunk) const;
+  // Of `count` tasks from `first` on, those that are done.
+  std::vector<std::uint32_t> done_among(const std::string& id, std::uint32_t first,
+                                        std::uint32_t count) const;
   bool complete(const std::string& id) const;
   std::uint32_t task_count(const std::string& id) const;
 
@@ -201,11 +207,14 @@
     std::map<std::string, Ms>
         bad_machines;  // on which it has failed, and until when it avoids them
     Ms not_before = 0, backoff = 0;
-    Ms accepted = 0;
-    std::vector<Ms> bounds;  // when it should be complete, the tightest aim first
-    int stage = 0;           // aims that it can no longer meet
-    bool begun = false;      // a task of it has been on a machine
-    bool starved = false;    // it has waited too long for that: it goes first
+    Ms ready = 0;      // when it was free to start; its acceptance, if it has no prerequisites
+    Ms submitted = 0;  // its deadline counts from here
+    Priority priority = Priority::standard;  // its own, or that of a job which waits for it
+    std::optional<Ms> finish_by;             // so that the jobs which wait for it are in time
+    std::vector<Ms> bounds;                  // when it should be complete, the tightest aim first
+    int stage = 0;                           // aims that it can no longer meet
+    bool begun = false;                      // a task of it has been on a machine
+    bool starved = false;                    // it has waited too long for that: it goes first
     Ms latest_start = 0;
     Ms waiting_since = 0;  // when the first of its queued tasks began to wait
     // Of a service that waits: whether a machine with its image could take it, and how many
@@ -282,6 +291,7 @@
   Ms keep_ms() const;
   double waiting_cpus() const;
   double unplaceable_cpus(const Job& j, Ms now) const;
+  void set_bounds(Job& j) const;
   void reorder(Ms now);
   int image_number(const std::string& image);
   void forget_images();
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -287,9 +287,9 @@
     return false;
   const JobSpec& v = victim.job->spec;
   if (by_guarantee)
-    return victim.team != j.team && v.kind == Kind::array && v.priority <= j.spec.priority &&
+    return victim.team != j.team && v.kind == Kind::array && victim.job->priority <= j.priority &&
            team_cpus_[victim.team] - victim.cpus >= teams_[victim.team].cpus - kEps;
-  return v.priority < j.spec.priority;
+  return victim.job->priority < j.priority;
 }
 
 // Stops tasks here and starts one of the job in their room, in the same answer: the worker obeys
@@ -311,7 +311,7 @@
     if (may_stop(b, j, by_guarantee)) candidates.emplace_back(key, &b);
   // The lowest priority first, then the youngest: the least work is lost.
   std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
-    const Priority ra = a.second->job->spec.priority, rb = b.second->job->spec.priority;
+    const Priority ra = a.second->job->priority, rb = b.second->job->priority;
     return ra != rb ? ra < rb : a.second->attempt > b.second->attempt;
   });
   const JobSpec& s = j.spec;
@@ -395,7 +395,7 @@
   // By then every machine has reported since it starves.
   const Ms after = constants::kStarvedMs + limits_.all_reported_ms();
   for (Job* j : waiting()) {
-    if (!j->starved || now - j->accepted < after || !may_start(m, *j, proof, now) ||
+    if (!j->starved || now - j->ready < after || !may_start(m, *j, proof, now) ||
         fits(m, *j, proof.cpus))
       continue;
     if (!fits_beside(m, *j, proof.cpus, m.service_cpus)) continue;
@@ -430,7 +430,7 @@
     auto within = [&] { return team_cpus_[j->team] + j->spec.cpus <= teams_[j->team].cpus + kEps; };
     const Ms waited = now - j->waiting_since;
     const bool by_priority =
-        j->spec.priority > Priority::standard && waited >= constants::kPreemptAfterMs;
+        j->priority > Priority::standard && waited >= constants::kPreemptAfterMs;
     // Guard: what fits into room that is free on machines which have not reported yet needs no
     // victims. On jelajah-grown some jobs had each of their tasks stopped for nothing.
     const bool by_guarantee =
--- a/src/core/queue.cc
+++ b/src/core/queue.cc
@@ -10,8 +10,7 @@
 template <class J>
 auto urgency(const J& j, Ms later) {
   // Guard: idle-time work starved behind a queue of higher priority that never ended.
-  const Priority priority =
-      j.starved ? std::max(j.spec.priority, Priority::standard) : j.spec.priority;
+  const Priority priority = j.starved ? std::max(j.priority, Priority::standard) : j.priority;
   return std::tuple(-static_cast<int>(priority), !j.starved, j.stage, j.latest_start + later,
                     j.stamp);
 }
@@ -29,16 +28,16 @@
     const Ms run = static_cast<Ms>(j->spec.estimate_s * 1000) + constants::kStartAllowanceMs;
     j->stage = 0;
     // Guard: whatever its aims, and however many others are more urgent, a job begins in time.
-    j->starved = !j->begun && now - j->accepted >= constants::kStarvedMs;
-    j->latest_start = j->accepted + constants::kUnboundedMs;
+    j->starved = !j->begun && now - j->ready >= constants::kStarvedMs;
+    j->latest_start = j->ready + constants::kUnboundedMs;
     if (j->bounds.empty()) continue;
     const std::size_t n = j->bounds.size();
     std::size_t i = 0;
     while (i < n && now + run > j->bounds[i]) ++i;
     j->stage = static_cast<int>(i);
-    j->latest_start = i < n ? j->bounds[i] - run : j->accepted;
-    if (now - j->accepted > constants::kPatienceBounds * (j->bounds.back() - j->accepted))
-      j->stage = 0;
+    j->latest_start = i < n ? j->bounds[i] - run : j->ready;
+    const Ms span = j->bounds.back() - j->submitted;
+    if (span > 0 && now - j->submitted > constants::kPatienceBounds * span) j->stage = 0;
   }
   std::stable_sort(order_.begin(), order_.end(),
                    [](const Job* a, const Job* b) { return urgency(*a, 0) < urgency(*b, 0); });
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -29,7 +29,8 @@
   std::string image;
   double image_gb = 0, estimate_s = 0, checkpoint_s = 0, save_s = 0;
   std::optional<double> deadline_s;
-  Ms accepted_at = 0;  // time of day of the acceptance, as its node saw it
+  Ms accepted_at = 0;                      // time of day of the acceptance, as its node saw it
+  std::vector<std::string> prerequisites;  // jobs that have to be done before any task starts
 };
 
 struct Team {  // what it is guaranteed, and what its tasks may use at most (infinite: no limit)
--- a/tests/part_test.cc
+++ b/tests/part_test.cc
@@ -334,8 +334,8 @@
       200);
   EXPECT_TRUE(part.complete("run-1"));
   std::size_t recorded = 0;
-  for (std::uint32_t chunk = 0; chunk * constants::kDoneChunk < constants::kTasksMax; ++chunk)
-    recorded += part.done_in_chunk("run-1", chunk).size();
+  for (std::uint32_t first = 0; first < constants::kTasksMax; first += constants::kDoneChunk)
+    recorded += part.done_among("run-1", first, constants::kDoneChunk).size();
   EXPECT_EQ(recorded, constants::kTasksMax);
 }
 
