--- a/tests/answers_test.cc
+++ b/tests/answers_test.cc
@@ -168,20 +168,39 @@
   EXPECT_EQ(r.settings.guarantee_s, 15);
 }
 
+// What fits into the limits as they are and as they will be is all that is ever written.
+TEST(SettingsFile, TheLowerOfThePresentAndTheNextLimitsHolds) {
+  const std::string next = "[params.state.next]\nrps = 90.0\nvalue_kb = 2.0\ntxn_ops = 5\n";
+  auto r = load_settings(file_with(with("[params.cloud]", next + "[params.cloud]")));
+  EXPECT_TRUE(r.problems.empty());
+  EXPECT_EQ(r.settings.state_rps, 60);
+  EXPECT_EQ(r.settings.state_write_rps, 20);
+  EXPECT_EQ(r.settings.state_value_kb, 2);
+  EXPECT_EQ(r.settings.state_txn_ops, 5);
+}
+
 TEST(SettingsFile, EveryProblemIsOneLineWithFileAndField) {
+  const std::string cloud = "[params.cloud]";
+  const std::string next = "[params.state.next]\n";
+
   struct Case {
     std::string text, field;
   };
-  for (const Case& c : {Case{with("node_name = \"n0\"", ""), "node_name"},
-                        Case{with("area = \"a\"", "area = 7"), "area"},
-                        Case{with("10.0.0.1:8080", "10.0.0.1"), "api_addr"},
-                        Case{with("\"n1\"", "\"n0\""), "known[0].node_name"},
-                        Case{with("size = 2", "size = \"two\""), "params.size"},
-                        Case{with("size = 2", "size = 0"), "params.size"},
-                        Case{with("cpus = 10.0", "cpus = 30.0"), "params.teams[0].cpus"},
-                        Case{with("lease_s = 10.0", "lease_s = 0.9"), "params.workers.lease_s"},
-                        Case{with("rps = 60.0", "rps = -1"), "params.state.rps"},
-                        Case{with("cloud = \"10.2.0.2:8443\"", ""), "outside.cloud"}}) {
+  for (const Case& c :
+       {Case{with("node_name = \"n0\"", ""), "node_name"},
+        Case{with("area = \"a\"", "area = 7"), "area"},
+        Case{with("10.0.0.1:8080", "10.0.0.1"), "api_addr"},
+        Case{with("\"n1\"", "\"n0\""), "known[0].node_name"},
+        Case{with("size = 2", "size = \"two\""), "params.size"},
+        Case{with("size = 2", "size = 0"), "params.size"},
+        Case{with("cpus = 10.0", "cpus = 30.0"), "params.teams[0].cpus"},
+        Case{with("lease_s = 10.0", "lease_s = 0.9"), "params.workers.lease_s"},
+        Case{with("rps = 60.0", "rps = -1"), "params.state.rps"},
+        Case{with("value_kb = 8.0", "value_kb = 0.5"), "params.state.value_kb"},
+        Case{with(cloud, next + "txn_ops = 1\n" + cloud), "params.state.next.txn_ops"},
+        Case{with(cloud, next + "value_kb = \"two\"\n" + cloud), "params.state.next.value_kb"},
+        Case{with("txn_ops = 16", "txn_ops = 16\nnext = 7"), "params.state.next"},
+        Case{with("cloud = \"10.2.0.2:8443\"", ""), "outside.cloud"}}) {
     const std::string path = file_with(c.text);
     auto r = load_settings(path);
     ASSERT_EQ(r.problems.size(), 1u) << c.field;
--- /dev/null
+++ b/tests/chains_test.cc
@@ -0,0 +1,621 @@
+// Jobs that wait for other jobs, under the troubles that meet them, and the upgrade to the build
+// that knows them. Every day keeps the rules; `too_early` and `orphaned` are two of them.
+#include <rapidjson/document.h>
+
+#include <array>
+
+#include "standin/expectations.h"
+#include "standin/text.h"
+
+using namespace eiderreel;
+using namespace eiderreel::standin;
+
+namespace {
+
+using Seeds = testing::TestWithParam<std::uint64_t>;
+
+JobSpec needing(JobSpec spec, std::vector<std::string> prerequisites) {
+  spec.prerequisites = std::move(prerequisites);
+  return spec;
+}
+
+std::string id(int n) { return "run-" + std::to_string(n); }
+
+Options seeded(std::uint64_t seed) {
+  Options o;
+  o.seed = seed;
+  return o;
+}
+
+// run-1 (red) <- run-2 (blue) <- run-3 (gold); each runs for `run_s`.
+void submit_pipeline(World& w, double run_s) {
+  w.submit(w.job("run-1", "red", 4, 1, run_s));
+  w.submit_chained(needing(w.job("run-2", "blue", 4, 1, run_s), {"run-1"}));
+  w.submit_chained(needing(w.job("run-3", "gold", 4, 1, run_s), {"run-2"}));
+}
+
+void expect_phase(World& w, const std::vector<std::string>& ids, const std::string& phase) {
+  for (const auto& job : ids) EXPECT_EQ(w.phase(job), phase) << job;
+}
+
+// What a node answers to a poll now, by way of the test's own question.
+void poll_into(World& w, int node, const std::string& job, std::string& phase) {
+  w.poll_once(node, job, [&phase](int status, const std::string& told) {
+    phase = status == 200 ? told : std::to_string(status);
+  });
+}
+
+std::size_t open_in_parts(World& w) {
+  std::size_t jobs = 0;
+  for (int n = 0; n < 3; ++n)
+    if (w.node(n))
+      for (const auto& [part, core] : w.node(n)->owner().parts()) jobs += core->job_count();
+  return jobs;
+}
+
+// ------------------------------------------------------------------------------ ordinary days
+
+TEST(Chain, StepsOfThreeTeamsRunOneAfterTheOther) {
+  World w(seeded(1));
+  std::string waiting;
+  w.at(5, [&] { submit_pipeline(w, 5); });
+  w.at(9, [&] {
+    poll_into(w, 1, "run-3", waiting);
+    EXPECT_EQ(open_in_parts(w), 1u);  // what waits takes part in nothing
+    EXPECT_NE(status_json(*w.node(0)).find(R"("job":"run-3","prerequisites":1,"first":["run-2"])"),
+              std::string::npos);
+  });
+  w.run_until(60);
+  EXPECT_EQ(waiting, "queued");
+  EXPECT_EQ(w.lines("job ready job=run-2"), 1u);
+  expect_phase(w, {"run-1", "run-2", "run-3"}, "done");
+  expect_rules_kept(w);
+}
+
+TEST(Chain, AnInvalidOrUnknownPrerequisiteIsRefused) {
+  World w(seeded(1));
+  std::map<std::string, int> answers;
+  auto submit = [&](const std::string& awaits, const std::string& job = "run-50") {
+    std::string text = submission_text(w.job(job, "red", 1));
+    text.insert(text.size() - 1, ",\"awaits\":" + awaits);
+    w.raw(1, "POST", "/v1/jobs", text,
+          [&, awaits](int status, std::string) { answers[awaits] = status; });
+  };
+  w.at(5, [&] { w.submit(w.job("run-1", "blue", 1, 1, 100)); });
+  w.at(8, [&] {
+    for (const char* invalid : {"\"run-1\"", "[7]", "[\"job-1\"]", "[[\"run-1\"]]", "{}"})
+      submit(invalid);
+    submit("[\"run-99\"]");
+    submit("[\"run-1\",\"run-99\"]");
+    submit("[\"run-50\"]");
+    submit("null", "run-51");
+    submit("[]", "run-52");
+    submit("[\"run-1\",\"run-1\"]", "run-53");
+  });
+  w.at(12, [&] { submit("[\"run-98\"]", "run-53"); });  // known, whatever it says now
+  w.at(12, [&] { submit("[\"not an id\"]", "run-53"); });
+  w.run_until(15);
+  for (const char* invalid : {"\"run-1\"", "[7]", "[\"job-1\"]", "[[\"run-1\"]]", "{}"})
+    EXPECT_EQ(answers[invalid], 400) << invalid;
+  EXPECT_EQ(answers["[\"run-99\"]"], 422);
+  EXPECT_EQ(answers["[\"run-1\",\"run-99\"]"], 422);
+  EXPECT_EQ(answers["[\"run-50\"]"], 422);
+  EXPECT_EQ(answers["null"], 201);
+  EXPECT_EQ(answers["[]"], 201);
+  EXPECT_EQ(answers["[\"run-1\",\"run-1\"]"], 201);
+  EXPECT_EQ(answers["[\"run-98\"]"], 200);
+  EXPECT_EQ(answers["[\"not an id\"]"], 200);
+}
+
+TEST(Chain, APrerequisiteOfUnknownStandingIsRefusedAtOnceInAnOutage) {
+  World w(seeded(1));
+  int status = 0;
+  double answered = 0;
+  w.at(20, [&] { w.state_outage(true); });
+  w.at(22, [&] {
+    w.raw(0, "POST", "/v1/jobs", submission_text(needing(w.job("run-2", "red", 1), {"run-1"})),
+          [&](int s, std::string) {
+            status = s;
+            answered = w.now();
+          });
+  });
+  w.run_until(30);
+  EXPECT_EQ(status, 503);
+  EXPECT_LT(answered, 22.5);
+}
+
+// Users set priority and deadline on the last job: what it needs goes before what nobody needs.
+TEST(Chain, WhatAnUrgentJobNeedsGoesFirst) {
+  Options o = seeded(1);
+  o.machines = 2;
+  o.capacity = 0;
+  World w(o);
+  w.at(5, [&] { w.submit(w.job("run-9", "red", 16, 1, 12)); });
+  w.at(6, [&] {
+    for (int n : {1, 2}) {
+      JobSpec first = w.job(id(n), "red", 16, 1, 10);
+      first.priority = Priority::best_effort;
+      w.submit(first);
+    }
+  });
+  w.at(8, [&] {
+    JobSpec last = w.job("run-3", "red", 1, 1, 5);
+    last.priority = Priority::high;
+    w.submit_chained(needing(last, {"run-2"}));
+  });
+  w.run_until(29);
+  expect_phase(w, {"run-2", "run-3"}, "done");
+  EXPECT_NE(w.phase("run-1"), "done");
+  expect_rules_kept(w);
+}
+
+// ------------------------------------------------------------------------------ cancellations
+
+class ChainCancellation : public Seeds {};
+
+TEST_P(ChainCancellation, OfTheFirstCancelsAllThatNeedIt) {
+  World w(seeded(GetParam()));
+  std::map<std::string, int> repeated;
+  w.at(5, [&] { submit_pipeline(w, 60); });
+  w.at(20, [&] { w.cancel("run-1"); });
+  for (double t : {20.0, 20.02, 20.1, 25.0})  // submitted during and after
+    w.at(t, [&w, t] {
+      const int n = 100 + static_cast<int>(t * 100) % 900;
+      w.submit_chained(needing(w.job(id(n), "blue", 1), {"run-3"}));
+    });
+  w.at(35, [&] {
+    for (int node = 0; node < 3; ++node)
+      w.raw(node, "POST", "/v1/jobs",
+            submission_text(needing(w.job("run-3", "gold", 4), {"run-2"})),
+            [&](int status, std::string body) { repeated[body] += status == 200; });
+  });
+  w.run_until(60);
+  expect_phase(
+      w, {"run-1", "run-2", "run-3", id(100 + 200), id(100 + 202), id(100 + 210), id(100 + 700)},
+      "cancelled");
+  EXPECT_EQ(repeated[codec::job_status("run-3", {JobPhase::cancelled, 0, 0})], 3);
+  expect_rules_kept(w);
+}
+
+TEST_P(ChainCancellation, OfOneInTheMiddleLeavesWhatItNeeds) {
+  World w(seeded(GetParam()));
+  w.at(5, [&] { submit_pipeline(w, 10); });
+  w.at(9, [&] { w.cancel("run-2"); });
+  w.run_until(60);
+  expect_phase(w, {"run-1"}, "done");
+  expect_phase(w, {"run-2", "run-3"}, "cancelled");
+  expect_rules_kept(w);
+}
+
+TEST_P(ChainCancellation, OfTheLastCancelsNothingElse) {
+  World w(seeded(GetParam()));
+  w.at(5, [&] { submit_pipeline(w, 5); });
+  w.at(9, [&] { w.cancel("run-3"); });
+  w.run_until(60);
+  expect_phase(w, {"run-1", "run-2"}, "done");
+  expect_phase(w, {"run-3"}, "cancelled");
+  expect_rules_kept(w);
+}
+
+// A cancellation meets the end of the same job: whichever it is, the jobs after it go the same way.
+TEST_P(ChainCancellation, AtTheEndOfAJobDecidesForAllAfterIt) {
+  std::size_t done = 0, cancelled = 0;
+  for (int offset = 0; offset < 24; ++offset) {
+    World w(seeded(GetParam() * 100 + static_cast<std::uint64_t>(offset)));
+    w.at(5, [&] { submit_pipeline(w, 5); });
+    w.at(9.8 + 0.08 * offset, [&] { w.cancel("run-1"); });
+    w.run_until(50);
+    const std::string end = w.phase("run-1");
+    (end == "done" ? done : cancelled) += 1;
+    expect_phase(w, {"run-1", "run-2", "run-3"}, end);
+    expect_rules_kept(w, std::to_string(offset));
+  }
+  EXPECT_GT(done, 0u);
+  EXPECT_GT(cancelled, 0u);
+}
+
+// The user is told that the first job is cancelled, and then nobody reaches the state service for
+// longer than a cancellation may take. Owners that act under promises learn of the end with them.
+TEST_P(ChainCancellation, IsKnownToOwnersOfDependentsInAnOutageRightAfterIt) {
+  Options o = seeded(GetParam());
+  o.cancel_s = 15;
+  World w(o);
+  std::array<std::string, 3> told;
+  w.at(5, [&] { submit_pipeline(w, 300); });
+  w.at(20, [&] { w.cancel("run-1"); });
+  auto check = std::make_shared<std::function<void()>>();
+  double outage_at = -1;
+  *check = [&w, &outage_at, &told, check] {
+    if (w.confirmed("run-1").node < 0) return w.at(w.now() + 0.002, *check);
+    outage_at = w.now();
+    w.state_outage(true);
+    w.at(w.now() + 12, [&w, &told] {
+      for (int node = 0; node < 3; ++node)
+        poll_into(w, node, "run-3", told[static_cast<std::size_t>(node)]);
+    });
+    w.at(w.now() + 30, [&w] { w.state_outage(false); });
+  };
+  w.at(20.001, [check] { (*check)(); });
+  w.run_until(100);
+  ASSERT_GT(outage_at, 0);
+  for (const auto& phase : told) EXPECT_EQ(phase, "cancelled");
+  expect_phase(w, {"run-1", "run-2", "run-3"}, "cancelled");
+  expect_rules_kept(w);
+  *check = [] {};
+}
+
+// As before, and the owner of the dependents is cut off alone first: nobody speaks for it until the
+// state service is back.
+TEST_P(ChainCancellation, MeetsAnOwnerOfDependentsThatIsCutOffAndThenAnOutage) {
+  Options o = seeded(GetParam());
+  o.cancel_s = 15;
+  World w(o);
+  int refused = -1;
+  w.at(5, [&] { submit_pipeline(w, 300); });
+  w.at(19, [&] {
+    refused = w.owner_of(2);
+    w.state_refuses(refused, true);
+  });
+  w.at(20, [&] { w.cancel("run-1"); });
+  w.at(21, [&] { w.state_outage(true); });
+  w.at(45, [&] {
+    w.state_refuses(refused, false);
+    w.state_outage(false);
+  });
+  for (double t = 20; t < 80; t += 0.5)
+    w.at(t, [&w] {
+      for (int node = 0; node < 3; ++node) w.poll_once(node, "run-3", [](int, std::string) {});
+    });
+  w.run_until(110);
+  EXPECT_GE(w.confirmed("run-1").at, 20);
+  expect_phase(w, {"run-1", "run-2", "run-3"}, "cancelled");
+  expect_rules_kept(w);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, ChainCancellation, testing::Values(1, 2, 3));
+
+// ----------------------------------------------------------------- ends that meet other troubles
+
+enum class Trouble { owner_ends, dependents_owner_ends, outage, all_end, home_is_back };
+
+class ChainEnd : public testing::TestWithParam<std::tuple<Trouble, std::uint64_t>> {};
+
+// The last prerequisite ends within the second around the trouble, at offsets all through it.
+TEST_P(ChainEnd, MeetsATrouble) {
+  const auto [trouble, seed] = GetParam();
+  std::size_t met = 0;
+  for (int offset = 0; offset < 6; ++offset) {
+    World w(seeded(seed * 10 + static_cast<std::uint64_t>(offset)));
+    double ended = -1;
+    const double at = 9.6 + 0.25 * offset;
+    if (trouble == Trouble::home_is_back)  // handed back about when run-1 ends
+      w.at(at - 7.2, [&w] { w.crash(2, 2); });
+    w.at(5, [&] { submit_pipeline(w, 5); });
+    w.at(at, [&w, trouble = trouble] {
+      const int owner = w.owner_of(trouble == Trouble::owner_ends ? 0 : 1);
+      if (trouble == Trouble::owner_ends || trouble == Trouble::dependents_owner_ends)
+        w.crash(std::max(owner, 0), 4);
+      if (trouble == Trouble::all_end)
+        for (int n = 0; n < 3; ++n) w.crash(n, 1 + n);
+      if (trouble == Trouble::outage) w.state_outage(true);
+    });
+    if (trouble == Trouble::outage) w.at(at + 12, [&w] { w.state_outage(false); });
+    for (double t = 9; t < 40; t += 0.05)
+      w.at(t, [&] {
+        if (ended < 0 && w.checker().ready("run-2")) ended = w.now();
+      });
+    w.run_until(100);
+    met += ended > 0 && std::abs(ended - at) < 1.5;
+    expect_phase(w, {"run-1", "run-2", "run-3"}, "done");
+    expect_rules_kept(w, std::to_string(offset));
+  }
+  EXPECT_GE(met, 2u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Troubles, ChainEnd,
+    testing::Combine(testing::Values(Trouble::owner_ends, Trouble::dependents_owner_ends,
+                                     Trouble::outage, Trouble::all_end, Trouble::home_is_back),
+                     testing::Values(1, 2, 3)));
+
+// ------------------------------------------------------------------------- which node is asked
+
+class ChainSubmission : public Seeds {};
+
+// Each job right after the acceptance of the one before, through another node, whose view lags.
+TEST_P(ChainSubmission, ThroughNodesThatLagBehind) {
+  World w(seeded(GetParam()));
+  std::array<int, 6> status{};
+  std::function<void(int)> submit = [&](int n) {
+    JobSpec job = w.job(id(n), n % 2 ? "red" : "blue", 1, 1, 2);
+    if (n > 1) job.prerequisites = {id(n - 1)};
+    w.submit(job);
+    w.raw(n % 3, "POST", "/v1/jobs", submission_text(job), [&, n](int s, std::string) {
+      status[static_cast<std::size_t>(n)] = s;
+      if (n < 5) submit(n + 1);
+    });
+  };
+  w.at(5, [&] { submit(1); });
+  w.run_until(50);
+  for (int n = 1; n <= 5; ++n) {
+    EXPECT_TRUE(status[static_cast<std::size_t>(n)] == 201 ||
+                status[static_cast<std::size_t>(n)] == 200)
+        << n << ": " << status[static_cast<std::size_t>(n)];
+    EXPECT_EQ(w.phase(id(n)), "done");
+  }
+  expect_rules_kept(w);
+}
+
+// The last job is submitted when all others are over long since, and no node has read their ends.
+TEST_P(ChainSubmission, AfterARestartOfAllWhenTheOthersAreOver) {
+  World w(seeded(GetParam()));
+  int status = 0, unknown = 0;
+  w.at(5, [&] {
+    w.submit(w.job("run-1", "red", 2, 1, 3));
+    w.submit(w.job("run-2", "blue", 2, 1, 300));
+  });
+  w.at(10, [&] { w.cancel("run-2"); });
+  w.at(30, [&] {
+    for (int n = 0; n < 3; ++n) w.crash(n, 2);
+  });
+  w.at(33, [&] {
+    w.submit(needing(w.job("run-3", "gold", 2, 1, 3), {"run-1"}));
+    w.submit(needing(w.job("run-4", "gold", 2, 1, 3), {"run-1", "run-2"}));
+    w.raw(1, "POST", "/v1/jobs",
+          submission_text(needing(w.job("run-5", "gold", 1), {"run-1", "run-77"})),
+          [&](int s, std::string) { unknown = s; });
+  });
+  w.at(36, [&] { w.raw(2, "GET", "/v1/jobs/run-4", "", [&](int s, std::string) { status = s; }); });
+  w.run_until(70);
+  EXPECT_TRUE(unknown == 422 || unknown == 503) << unknown;
+  EXPECT_EQ(status, 200);
+  expect_phase(w, {"run-3"}, "done");
+  expect_phase(w, {"run-4"}, "cancelled");
+  expect_rules_kept(w);
+}
+
+// A controller that the state service refuses alone can't say whether a job was ever accepted.
+TEST_P(ChainSubmission, ThroughANodeThatTheStateServiceRefuses) {
+  World w(seeded(GetParam()));
+  int status = 0;
+  w.at(20, [&] { w.state_refuses(1, true); });
+  w.at(21, [&] { w.submit(w.job("run-1", "red", 1, 1, 5)); });
+  w.at(24, [&] {
+    w.raw(1, "POST", "/v1/jobs", submission_text(needing(w.job("run-2", "red", 1), {"run-1"})),
+          [&](int s, std::string) { status = s; });
+  });
+  w.at(30, [&] { w.state_refuses(1, false); });
+  w.at(40, [&] { w.submit(needing(w.job("run-2", "red", 1), {"run-1"})); });
+  w.run_until(70);
+  EXPECT_EQ(status, 503);
+  expect_phase(w, {"run-1", "run-2"}, "done");
+  expect_rules_kept(w);
+}
+
+// Half done when all controllers end.
+TEST_P(ChainSubmission, BeforeAllControllersAreRestarted) {
+  World w(seeded(GetParam()));
+  w.at(5, [&] {
+    submit_pipeline(w, 6);
+    w.submit_chained(needing(w.job("run-4", "red", 2, 1, 3), {"run-1", "run-3"}));
+  });
+  for (double t : {12.5, 30.0})
+    w.at(t, [&] {
+      for (int n = 0; n < 3; ++n) w.crash(n, 1 + n);
+    });
+  w.run_until(120);
+  EXPECT_GE(w.lines("crashes"), 6u);
+  expect_phase(w, {"run-1", "run-2", "run-3", "run-4"}, "done");
+  expect_rules_kept(w);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, ChainSubmission, testing::Values(1, 2, 3));
+
+// ---------------------------------------------------------------------------------- large graphs
+
+// The limits of a small deployment as they will be.
+Options small_limits(std::uint64_t seed) {
+  Options o = seeded(seed);
+  o.value_kb = 2;
+  o.txn_ops = 5;
+  o.state_rps = 60;
+  o.state_write_rps = 45;
+  o.limits = true;
+  return o;
+}
+
+// Hundreds of dependents of one job, and one job that needs them all: its prerequisites do not fit
+// into one value. Everything restarts while they wait.
+TEST(LargeChain, HundredsOfDependentsAndOneJobThatNeedsThemAll) {
+  constexpr int kMany = 300;
+  World w(small_limits(1));
+  std::vector<std::string> all;
+  w.at(5, [&] { w.submit(w.job("run-1", "red", 1, 1, 60)); });
+  for (int n = 0; n < kMany; ++n) {
+    all.push_back(id(1000 + n));
+    w.at(6 + 0.08 * n, [&w, n] {
+      w.submit_chained(needing(w.job(id(1000 + n), "blue", 1, 0.25, 1), {"run-1"}));
+    });
+  }
+  w.at(32, [&] { w.submit_chained(needing(w.job("run-2", "gold", 1, 1, 1), all)); });
+  w.at(50, [&] {
+    EXPECT_EQ(w.phase("run-2"), "queued");
+    EXPECT_GE(w.keys_under("e/awaits/run-2/"), 2u);
+    for (int n = 0; n < 3; ++n) w.crash(n, 1);
+  });
+  w.run_until(240);
+  EXPECT_EQ(w.refused_too_large(), 0u);
+  expect_phase(w, all, "done");
+  expect_phase(w, {"run-2"}, "done");
+  EXPECT_EQ(w.keys_under("e/awaits/"), 0u);  // swept
+  EXPECT_LT(w.slowest_acceptance(), 6);
+  expect_rules_kept(w);
+}
+
+// One cancellation, one record: the answer does not wait for the hundreds after it.
+TEST(LargeChain, ACancellationIsConfirmedAtOnceWhateverNeedsTheJob) {
+  constexpr int kMany = 150;
+  World w(small_limits(2));
+  std::vector<std::string> all;
+  w.at(5, [&] { w.submit(w.job("run-1", "red", 1, 1, 300)); });
+  for (int n = 0; n < kMany; ++n) {
+    all.push_back(id(1000 + n));
+    const std::string before = n % 10 ? id(1000 + n - 1) : "run-1";
+    w.at(6 + 0.1 * n, [&w, n, before] {
+      w.submit_chained(needing(w.job(id(1000 + n), n % 2 ? "blue" : "gold", 1, 1, 1), {before}));
+    });
+  }
+  w.at(40, [&] { w.cancel("run-1"); });
+  w.at(41, [&] { w.crash(w.owner_of(1), 4); });
+  w.run_until(100);
+  EXPECT_GE(w.confirmed("run-1").at, 40);
+  EXPECT_LT(w.confirmed("run-1").at, 40.5);
+  expect_phase(w, all, "cancelled");
+  expect_rules_kept(w);
+}
+
+// A chain of a thousand, cancelled at its first job.
+TEST(LargeChain, AChainOfAThousand) {
+  constexpr int kLength = 1000;
+  Options o = seeded(3);
+  o.state_rps = 2000;
+  o.state_write_rps = 1000;
+  World w(o);
+  w.at(5, [&] { w.submit(w.job(id(1), "red", 1, 1, 300)); });
+  for (int n = 2; n <= kLength; ++n)
+    w.at(6 + 0.02 * n,
+         [&w, n] { w.submit_chained(needing(w.job(id(n), "blue", 1, 1, 1), {id(n - 1)})); });
+  w.at(40, [&] { w.cancel(id(1)); });
+  w.run_until(70);
+  for (int n = 1; n <= kLength; ++n) ASSERT_EQ(w.phase(id(n)), "cancelled") << n;
+  expect_rules_kept(w);
+}
+
+// ------------------------------------------------------------------------------------- limits
+
+class LowerLimits : public Seeds {};
+
+// A job whose progress fills several of the smaller values is half done when a takeover meets the
+// lower limits.
+TEST_P(LowerLimits, ComeDuringATakeoverWithALargeJobInProgress) {
+  Options o = seeded(GetParam());
+  o.next_value_kb = 1;
+  o.next_txn_ops = 3;
+  o.next_write_rps = 60;
+  World w(o);
+  w.at(5, [&] {
+    w.submit(w.job("run-1", "red", 7000, 0.02, 4));
+    w.submit_chained(needing(w.job("run-2", "blue", 4, 1, 3), {"run-1"}));
+  });
+  w.at(14, [&] {
+    EXPECT_GE(w.keys_under("d/"), 1u);
+    w.crash(w.owner_of(0), 4);
+  });
+  w.at(15, [&] { w.limit_state(1, 3, 60); });
+  w.run_until(120);
+  EXPECT_EQ(w.refused_too_large(), 0u);
+  expect_phase(w, {"run-1", "run-2"}, "done");
+  EXPECT_EQ(w.keys_under("d/"), 0u);
+  expect_rules_kept(w);
+}
+
+// ------------------------------------------------------------------------------------- upgrade
+
+class Upgrade : public Seeds {
+ protected:
+  static Options old_build(std::uint64_t seed) {
+    Options o = seeded(seed);
+    o.old_nodes = {0, 1, 2};
+    o.next_value_kb = 2;
+    o.next_txn_ops = 5;
+    o.next_write_rps = 60;
+    return o;
+  }
+  // Jobs before, during and after, some of them called off.
+  static void submit_ordinary(World& w) {
+    for (int n = 0; n < 20; ++n) {
+      w.at(5 + 2.5 * n, [&w, n] {
+        const char* team = std::array{"red", "blue", "gold"}[static_cast<std::size_t>(n % 3)];
+        w.submit(w.job(id(100 + n), team, 6, 1, 3 + n % 7));
+      });
+      if (n % 5 == 0) w.at(7 + 2.5 * n, [&w, n] { w.cancel(id(100 + n)); });
+    }
+  }
+  static void expect_ordinary_ended(World& w) {
+    for (int n = 0; n < 20; ++n) EXPECT_EQ(w.phase(id(100 + n)), n % 5 ? "done" : "cancelled") << n;
+  }
+};
+
+TEST_P(Upgrade, RollsWhileJobsRunAndThenServesChains) {
+  World w(old_build(GetParam()));
+  std::map<int, int> mixed;
+  submit_ordinary(w);
+  w.at(14, [&] { w.crash(1, 3); });  // before its turn: it comes back old
+  w.at(20, [&] { w.upgrade(0); });
+  w.at(28, [&] {
+    w.raw(0, "POST", "/v1/jobs", submission_text(needing(w.job("run-9", "red", 1), {"run-101"})),
+          [&](int status, std::string) { ++mixed[status]; });
+  });
+  w.at(30, [&] { w.upgrade(1); });
+  w.at(40, [&] { w.upgrade(2); });
+  w.at(50, [&] { w.limit_state(2, 5, 60); });
+  w.at(52, [&] { submit_pipeline(w, 5); });
+  w.at(60, [&] { w.crash(w.owner_of(1), 4); });
+  w.run_until(140);
+  EXPECT_EQ(mixed[503], 1);  // a peer is known to be old
+  expect_ordinary_ended(w);
+  expect_phase(w, {"run-1", "run-2", "run-3"}, "done");
+  EXPECT_EQ(w.refused_too_large(), 0u);
+  expect_rules_kept(w);
+}
+
+TEST_P(Upgrade, MeetsAnEndOfAllAndAnOutage) {
+  World w(old_build(GetParam()));
+  submit_ordinary(w);
+  w.at(20, [&] { w.upgrade(2); });
+  w.at(27, [&] { w.state_outage(true); });
+  w.at(39, [&] { w.state_outage(false); });
+  w.at(42, [&] {  // all at once; one comes back old
+    w.upgrade(0, 1);
+    w.crash(1, 2);
+    w.crash(2, 3);
+  });
+  w.at(55, [&] { w.upgrade(1, 0.2); });
+  w.at(62, [&] { submit_pipeline(w, 5); });
+  w.run_until(150);
+  expect_ordinary_ended(w);
+  expect_phase(w, {"run-1", "run-2", "run-3"}, "done");
+  expect_rules_kept(w);
+}
+
+// Nothing is known of a controller that is away: that is no reason to refuse.
+TEST_P(Upgrade, AControllerThatIsAwayStopsNoChains) {
+  World w(seeded(GetParam()));
+  w.at(10, [&] { w.crash(2, 500); });
+  w.at(20, [&] { submit_pipeline(w, 4); });
+  w.run_until(90);
+  expect_phase(w, {"run-1", "run-2", "run-3"}, "done");
+  expect_rules_kept(w);
+}
+
+// An earlier build that comes back finds jobs with prerequisites: it starts none of them.
+TEST_P(Upgrade, AnEarlierBuildLeavesJobsWithPrerequisitesAlone) {
+  Options o = seeded(GetParam());
+  o.old_nodes = {0, 1, 2};
+  World w(o);
+  for (int n = 0; n < 3; ++n) w.at(1 + n, [&w, n] { w.upgrade(n, 0.5); });
+  w.at(15, [&] { submit_pipeline(w, 20); });
+  w.at(20, [&] { w.downgrade(w.owner_of(1), 1); });
+  w.at(60, [&] {
+    EXPECT_EQ(w.tasks_on("run-2"), 0u);
+    for (int n = 0; n < 3; ++n) w.upgrade(n, 0.5);
+  });
+  w.run_until(160);
+  expect_phase(w, {"run-1", "run-2", "run-3"}, "done");
+  expect_rules_kept(w);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, LowerLimits, testing::Values(1, 2, 3));
+INSTANTIATE_TEST_SUITE_P(Seeds, Upgrade, testing::Values(1, 2, 3));
+
+}  // namespace
--- a/tests/checker_test.cc
+++ b/tests/checker_test.cc
@@ -39,9 +39,9 @@
   c.told(1, "run-1", "queued");
   c.task_on(2, kHere, "run-1", 0);
   c.task_on(2, kThere, "run-1", 1);
-  c.task_done("run-1", 0);
+  c.task_done(4, "run-1", 0);
   c.task_off("m-1", "run-1", 0);
-  c.task_done("run-1", 1);
+  c.task_done(5, "run-1", 1);
   c.task_off("m-2", "run-1", 1);
   c.told(9, "run-1", "done");
   c.look(100);
@@ -114,7 +114,7 @@
 
 TEST_F(CheckerTest, NotDone) {
   accepted(spec("run-1"));
-  c.task_done("run-1", 0);
+  c.task_done(0.5, "run-1", 0);
   c.told(1, "run-1", "done");
   expect("not_done");
 }
@@ -221,4 +221,51 @@
   expect("unserved");
 }
 
+// A job of which another one is a prerequisite.
+JobSpec dependent(JobSpec spec, const std::string& prerequisite) {
+  spec.prerequisites = {prerequisite};
+  return spec;
+}
+
+TEST_F(CheckerTest, AJobThatStartsAfterItsPrerequisiteIsDoneBreaksNothing) {
+  accepted(spec("run-1", 1));
+  accepted(dependent(spec("run-2", 1), "run-1"));
+  c.task_on(1, kHere, "run-1", 0);
+  c.task_done(300, "run-1", 0);
+  c.task_off("m-1", "run-1", 0);
+  c.task_on(301, kHere, "run-2", 0);
+  c.day_over(400);
+  EXPECT_TRUE(c.broken().empty());
+}
+
+TEST_F(CheckerTest, TooEarly) {
+  accepted(spec("run-1", 2));
+  accepted(dependent(spec("run-2", 1), "run-1"));
+  c.task_on(1, kHere, "run-1", 0);
+  c.task_done(2, "run-1", 0);  // one task of two
+  c.task_on(3, kThere, "run-2", 0);
+  expect("too_early");
+}
+
+TEST_F(CheckerTest, OrphanedThroughAJobBetween) {
+  accepted(spec("run-1"));
+  accepted(dependent(spec("run-2"), "run-1"));
+  accepted(dependent(spec("run-3"), "run-2"));
+  c.cancel_asked("run-1");
+  c.told(10, "run-1", "cancelled");
+  c.told(49, "run-3", "queued");
+  c.told(49, "run-2", "cancelled");
+  EXPECT_TRUE(c.broken().empty());
+  c.told(51, "run-3", "queued");
+  expect("orphaned");
+}
+
+TEST_F(CheckerTest, AJobIsNotCancelledByWhatItDoesNotNeed) {
+  accepted(spec("run-1"));
+  accepted(dependent(spec("run-2"), "run-1"));
+  c.cancel_asked("run-2");
+  c.told(1, "run-1", "cancelled");
+  expect("went_back");
+}
+
 }  // namespace
--- /dev/null
+++ b/tests/dependency_graph_test.cc
@@ -0,0 +1,141 @@
+// The graph of jobs that wait for other jobs, on its own.
+#include "core/dependency_graph.h"
+
+#include <gtest/gtest.h>
+
+using namespace eiderreel;
+
+namespace {
+
+using Ids = std::vector<std::string>;
+using End = DependencyGraph::End;
+
+std::string id(int n) { return "run-" + std::to_string(n); }
+
+JobSpec job(int n, Priority priority = Priority::standard, double estimate_s = 10) {
+  JobSpec spec;
+  spec.id = id(n);
+  spec.priority = priority;
+  spec.estimate_s = estimate_s;
+  spec.accepted_at = 1000;
+  return spec;
+}
+
+End done(std::uint64_t revision = 50, Ms at = 5000) { return {JobPhase::done, revision, at}; }
+End cancelled() { return {JobPhase::cancelled, 60, 6000}; }
+
+class DependencyGraphTest : public testing::Test {
+ protected:
+  void open(const JobSpec& spec, const Ids& pending) { graph.open(spec, 10, pending, {}); }
+  DependencyGraph graph;
+};
+
+TEST_F(DependencyGraphTest, AJobIsReadyWithTheLastOfItsPrerequisites) {
+  open(job(3), {id(1), id(2)});
+  EXPECT_TRUE(graph.waits(id(3)));
+  EXPECT_EQ(graph.waiting_count(), 1);
+  graph.end(id(2), done(70, 7000));
+  EXPECT_TRUE(graph.take_effects().ready.empty());
+  EXPECT_EQ(graph.prerequisites_of(id(3), 5), Ids{id(1)});
+  graph.end(id(1), done(50, 5000));
+  EXPECT_EQ(graph.take_effects().ready, Ids{id(3)});
+  EXPECT_FALSE(graph.waits(id(3)));
+  EXPECT_EQ(graph.waiting_count(), 0);
+  EXPECT_EQ(graph.readiness(id(3))->revision, 70u);
+  EXPECT_EQ(graph.readiness(id(3))->at, 7000);
+}
+
+TEST_F(DependencyGraphTest, WhatHasEndedBeforeIsNotWaitedFor) {
+  graph.open(job(2), 10, {}, {done(5, 500), done(90, 9000)});
+  EXPECT_FALSE(graph.waits(id(2)));
+  EXPECT_EQ(graph.readiness(id(2))->revision, 90u);
+  graph.open(job(4), 10, {id(3)}, {cancelled()});
+  EXPECT_TRUE(graph.cancelled(id(4)));
+}
+
+TEST_F(DependencyGraphTest, ACancelledEndCancelsAllThatNeedItThroughAnyNumberOfSteps) {
+  open(job(2), {id(1)});
+  open(job(3), {id(2)});
+  open(job(4), {id(3), id(9)});
+  open(job(5), {id(9)});
+  graph.end(id(1), cancelled());
+  const auto effects = graph.take_effects();
+  EXPECT_EQ(std::set<std::string>(effects.cancelled.begin(), effects.cancelled.end()),
+            (std::set<std::string>{id(2), id(3), id(4)}));
+  EXPECT_TRUE(effects.ready.empty());
+  EXPECT_FALSE(graph.cancelled(id(5)));
+  open(job(6), {id(4)});  // submitted after that
+  EXPECT_TRUE(graph.cancelled(id(6)));
+  graph.end(id(9), done());
+  EXPECT_EQ(graph.take_effects().ready, Ids{id(5)});
+  for (int n : {2, 3, 4, 6}) graph.end(id(n), cancelled());
+  EXPECT_TRUE(graph.all_cancelled().empty());
+}
+
+TEST_F(DependencyGraphTest, ADoneEndCancelsNothing) {
+  open(job(2), {id(1)});
+  graph.end(id(1), done());
+  EXPECT_TRUE(graph.take_effects().cancelled.empty());
+  EXPECT_TRUE(graph.all_cancelled().empty());
+}
+
+TEST_F(DependencyGraphTest, UrgencyComesFromTheMostUrgentOfAllThatNeedAJob) {
+  open(job(2, Priority::best_effort, 20), {id(1)});
+  JobSpec last = job(3, Priority::high, 5);
+  last.deadline_s = 100;
+  open(last, {id(2)});
+  const Ms start = constants::kStartAllowanceMs;
+  EXPECT_EQ(graph.urgency(id(2))->priority, Priority::high);
+  EXPECT_EQ(graph.urgency(id(2))->finish_by, 1000 + 100000 - 5000 - start);
+  EXPECT_EQ(graph.urgency(id(1))->priority, Priority::high);
+  EXPECT_EQ(graph.urgency(id(1))->finish_by, 1000 + 100000 - 25000 - 2 * start);
+  EXPECT_FALSE(graph.urgency(id(3)));
+}
+
+TEST_F(DependencyGraphTest, CancelledAndFinishedDependentsAskForNothing) {
+  open(job(2, Priority::best_effort), {id(1)});
+  open(job(3, Priority::high), {id(2)});
+  open(job(4, Priority::production), {id(2), id(8)});
+  EXPECT_EQ(graph.urgency(id(1))->priority, Priority::production);
+  graph.end(id(8), cancelled());  // and 4 with it
+  EXPECT_EQ(graph.urgency(id(1))->priority, Priority::high);
+  graph.end(id(3), cancelled());
+  EXPECT_EQ(graph.urgency(id(1))->priority, Priority::best_effort);
+}
+
+// A record that is gone without a word of its end leaves its dependents waiting.
+TEST_F(DependencyGraphTest, DependentsOfAJobWhoseEndIsNotKnownGoOnWaiting) {
+  open(job(2), {id(1)});
+  open(job(3), {id(2)});
+  graph.close(id(2));
+  EXPECT_TRUE(graph.waits(id(3)));
+  EXPECT_TRUE(graph.depends_on(id(3), {id(2)}));
+  EXPECT_FALSE(graph.depends_on(id(3), {id(1)}));
+  graph.end(id(2), done());
+  EXPECT_EQ(graph.take_effects().ready, Ids{id(3)});
+  EXPECT_TRUE(graph.prerequisites().empty());
+}
+
+TEST_F(DependencyGraphTest, AChainOfThousandsIsCancelledAndRaisedWithoutRecursion) {
+  constexpr int kLength = 20000;
+  for (int n = 2; n <= kLength; ++n) open(job(n, Priority::standard), {id(n - 1)});
+  EXPECT_LT(graph.steps(), 3u * kLength);  // nothing changes for those far before
+  graph.end(id(1), cancelled());
+  EXPECT_EQ(graph.take_effects().cancelled.size(), static_cast<std::size_t>(kLength - 1));
+  EXPECT_LT(graph.steps(), 8u * kLength);
+}
+
+TEST_F(DependencyGraphTest, ManyDependentsAndManyPrerequisitesCostTheirEdgesOnly) {
+  constexpr int kMany = 5000;
+  for (int n = 2; n <= kMany; ++n) open(job(n), {id(1)});
+  Ids all;
+  for (int n = 2; n <= kMany; ++n) all.push_back(id(n));
+  open(job(kMany + 1, Priority::high), all);
+  graph.end(id(1), done());
+  EXPECT_EQ(graph.take_effects().ready.size(), static_cast<std::size_t>(kMany - 1));
+  for (int n = 2; n <= kMany; ++n) graph.end(id(n), done());
+  EXPECT_EQ(graph.take_effects().ready, Ids{id(kMany + 1)});
+  EXPECT_LT(graph.steps(), 10u * kMany);
+}
+
+}  // namespace
--- a/tests/standin/checker.cc
+++ b/tests/standin/checker.cc
@@ -1,5 +1,7 @@
 #include "standin/checker.h"
 
+#include <algorithm>
+
 namespace eiderreel::standin {
 
 namespace {
@@ -13,6 +15,61 @@
   broken_.push_back(std::to_string(t) + " " + rule + ": " + what);
 }
 
+// -------------------------------------------------------------------- jobs that need others
+
+bool Checker::ready(const std::string& id) const {
+  const auto job = jobs_.find(id);
+  if (job == jobs_.end()) return true;
+  return std::all_of(job->second.spec.prerequisites.begin(), job->second.spec.prerequisites.end(),
+                     [&](const std::string& needed) {
+                       const auto it = jobs_.find(needed);
+                       return it != jobs_.end() && it->second.done_at >= 0;
+                     });
+}
+
+double Checker::ready_at(const Job& j) const {
+  double at = j.accepted_at;
+  for (const auto& id : j.spec.prerequisites) at = std::max(at, jobs_.at(id).done_at);
+  return at;
+}
+
+std::vector<const Checker::Job*> Checker::needed_by(const Job& j) const {
+  std::vector<const Job*> out;
+  std::set<std::string> seen;
+  std::vector<std::string> left = j.spec.prerequisites;
+  while (!left.empty()) {
+    const std::string id = left.back();
+    left.pop_back();
+    const auto needed = jobs_.find(id);
+    if (needed == jobs_.end() || !seen.insert(id).second) continue;
+    out.push_back(&needed->second);
+    const auto& more = needed->second.spec.prerequisites;
+    left.insert(left.end(), more.begin(), more.end());
+  }
+  return out;
+}
+
+bool Checker::cancel_asked(const Job& j) const {
+  const auto needed = needed_by(j);
+  return j.cancel_asked || std::any_of(needed.begin(), needed.end(),
+                                       [](const Job* other) { return other->cancel_asked; });
+}
+
+// A job is still called open long after its user was told that a job before it is cancelled.
+void Checker::check_orphaned(double t, const std::string& id, const Job& j) {
+  if (!j.accepted) return;
+  for (const Job* needed : needed_by(j))
+    if (needed->told_cancelled_at >= 0 &&
+        t > std::max(needed->told_cancelled_at, j.accepted_at) + cancel_s_)
+      return broke(t, "orphaned", id + " needs " + needed->spec.id);
+}
+
+void Checker::task_done(double t, const std::string& id, std::uint32_t index) {
+  Job& j = jobs_[id];
+  j.done.insert(index);
+  if (j.done.size() == j.spec.tasks && j.done_at < 0) j.done_at = t;
+}
+
 void Checker::submit_answer(double t, const std::string& id, int status) {
   Job& j = jobs_[id];
   if (status == 200 || status == 201) {
@@ -38,10 +95,11 @@
   j.accepted = true;
   if (!j.final_phase.empty() && phase != j.final_phase)
     return broke(t, "went_back", id + " was " + j.final_phase + ", is " + phase);
-  if (phase == "cancelled" && !j.cancel_asked) broke(t, "went_back", id + " cancelled by nobody");
+  if (phase == "queued" || phase == "running") check_orphaned(t, id, j);
+  if (phase == "cancelled" && !cancel_asked(j)) broke(t, "went_back", id + " cancelled by nobody");
   if (phase == "done" && j.done.size() < j.spec.tasks) broke(t, "not_done", id);
   if (phase == "done" || phase == "cancelled") {
-    if (j.final_phase.empty() && phase == "cancelled") j.cancelled_at = t;
+    if (j.final_phase.empty() && phase == "cancelled") j.cancelled_at = j.told_cancelled_at = t;
     j.final_phase = phase;
   }
 }
@@ -49,6 +107,7 @@
 void Checker::task_on(double t, const Place& p, const std::string& id, std::uint32_t index) {
   ++starts_;
   Job& j = jobs_[id];
+  if (!ready(id)) broke(t, "too_early", id + "/" + std::to_string(index) + " on " + p.machine);
   if (j.begun_at < 0) j.begun_at = t;
   const std::string name = id + "/" + std::to_string(index);
   if (!j.on[index].empty()) broke(t, "ran_twice", name + " on " + p.machine);
@@ -91,7 +150,7 @@
 
 void Checker::could_run(double t, const std::string& id, bool could) {
   Job& j = jobs_[id];
-  if (!could || over_at_ < 0 || !j.accepted || j.cancel_asked) {
+  if (!could || over_at_ < 0 || !j.accepted || cancel_asked(j) || !ready(id)) {
     j.could_run_since = -1;
     return;
   }
@@ -109,9 +168,9 @@
   std::map<std::string, Count> counts;
   std::map<std::string, std::vector<const Job*>> classes;
   for (const auto& [id, j] : jobs_) {
-    if (!j.accepted || j.cancel_asked) continue;
-    const bool late =
-        j.begun_at < 0 ? t > j.accepted_at + kBeginsS : j.begun_at > j.accepted_at + kBeginsS;
+    if (!j.accepted || cancel_asked(j) || !ready(id)) continue;
+    const double begins_by = ready_at(j) + kBeginsS;
+    const bool late = j.begun_at < 0 ? t > begins_by : j.begun_at > begins_by;
     if (late) broke(t, "starved", id);
     counts["team " + j.spec.team].add(j.begun_at >= 0);
     classes[j.spec.jobclass].push_back(&j);
--- a/tests/standin/checker.h
+++ b/tests/standin/checker.h
@@ -44,7 +44,9 @@
   };
   void task_on(double t, const Place& p, const std::string& job, std::uint32_t index);
   void task_off(const std::string& machine, const std::string& job, std::uint32_t index);
-  void task_done(const std::string& job, std::uint32_t index) { jobs_[job].done.insert(index); }
+  void task_done(double t, const std::string& job, std::uint32_t index);
+  // Whether all jobs that this one needs are done.
+  bool ready(const std::string& id) const;
 
   const std::vector<std::string>& broken() const { return broken_; }
   std::size_t starts() const { return starts_; }
@@ -57,12 +59,19 @@
     bool accepted = false, cancel_asked = false;
     std::string final_phase;
     double cancelled_at = -1, accepted_at = -1, begun_at = -1;
+    double told_cancelled_at = -1;
+    double done_at = -1;
     double could_run_since = -1;
     double unanswered_since = -1;  // the first question without an answer after the last answer
     std::set<std::uint32_t> done;
     std::map<std::uint32_t, std::map<std::string, Place>> on;  // task -> machines
   };
   void broke(double t, const char* rule, const std::string& what);
+  // All jobs that a job needs, directly or through others.
+  std::vector<const Job*> needed_by(const Job& j) const;
+  bool cancel_asked(const Job& j) const;  // of it, or of a job that it needs
+  void check_orphaned(double t, const std::string& id, const Job& j);
+  double ready_at(const Job& j) const;
 
   std::vector<Team> teams_;
   double cancel_s_;
--- a/tests/standin/state_service.cc
+++ b/tests/standin/state_service.cc
@@ -2,6 +2,8 @@
 
 #include <rapidjson/document.h>
 
+#include <algorithm>
+
 #include "standin/text.h"
 
 namespace eiderreel::standin {
@@ -43,6 +45,18 @@
   return row == rows_.end() ? nullptr : &row->second.value;
 }
 
+std::size_t StateService::keys_under(const std::string& prefix) const {
+  return static_cast<std::size_t>(std::count_if(
+      rows_.begin(), rows_.end(), [&](const auto& row) { return has_prefix(row.first, prefix); }));
+}
+
+void StateService::set_limits(double value_kb, int txn_ops, double write_rps) {
+  limits_.value_kb = value_kb;
+  limits_.txn_ops = txn_ops;
+  limits_.write_rps = write_rps;
+  limits_.enforced = true;
+}
+
 void StateService::set_outage(bool on) {
   outage_ = on;
   if (on) return;
@@ -155,9 +169,26 @@
   return true;
 }
 
+bool StateService::is_too_large(const std::string& body) const {
+  Document d;
+  d.Parse(body.c_str());
+  const auto& writes = d["writes"].GetArray();
+  const auto most = static_cast<std::size_t>(limits_.txn_ops);
+  if (writes.Size() > most || d["guards"].GetArray().Size() > 4 * most || body.size() > 65536)
+    return true;
+  return std::any_of(writes.begin(), writes.end(), [&](const auto& write) {
+    return write.HasMember("v") &&
+           static_cast<double>(json_text(write["v"]).size()) > limits_.value_kb * 1024;
+  });
+}
+
 void StateService::serve_commit(const std::string& body, const Done& done) {
   Document d;
   d.Parse(body.c_str());
+  if (is_too_large(body)) {
+    ++counters_.too_large;
+    return done({400, error_text("too large")});
+  }
   if (!take_write_tokens(d["writes"].GetArray().Size())) {
     ++counters_.over_limit;
     return done({429, "{}"});
--- a/tests/standin/state_service.h
+++ b/tests/standin/state_service.h
@@ -34,11 +34,14 @@
     double write_rps = 0;
     bool enforced = false;
     std::size_t changes_kept = 0;  // for watches
+    double value_kb = 8;
+    int txn_ops = 16;
   };
   struct Counters {
     std::size_t commits = 0, over_limit = 0;
     std::size_t landed_late = 0;     // transactions that were carried out late
     std::size_t without_answer = 0;  // whether they landed or met newer ones
+    std::size_t too_large = 0;       // values or transactions over the limits
   };
 
   StateService(Environment environment, Limits limits)
@@ -51,6 +54,8 @@
   // The value of a key, or nothing.
   const std::string* value(const std::string& key) const;
 
+  std::size_t keys_under(const std::string& prefix) const;
+  void set_limits(double value_kb, int txn_ops, double write_rps);
   void set_outage(bool on);  // 503 for all
   void set_refused(const std::string& node, bool on);
   void set_late_writes(Delays delays) { late_writes_ = delays; }
@@ -85,6 +90,7 @@
   void serve_list(const std::string& path, const Done& done) const;
   void serve_read(const std::string& key, const Done& done) const;
   bool take_write_tokens(double writes);
+  bool is_too_large(const std::string& body) const;
   HttpReply commit(const std::string& body);
   void commit_later(Ms t, const std::string& body);
   void change(const std::string& key, const std::string* value, std::uint64_t lease);
--- a/tests/standin/text.h
+++ b/tests/standin/text.h
@@ -5,6 +5,8 @@
 
 #include <string>
 
+#include "codec/json.h"
+
 namespace eiderreel::standin {
 
 inline std::string json_text(const rapidjson::Value& value) {
@@ -34,4 +36,16 @@
   return "";
 }
 
+// A submission as a user writes it; what its record holds beside the job is not part of it.
+inline std::string submission_text(const JobSpec& spec) {
+  JobSpec alone = spec;
+  alone.prerequisites.clear();
+  std::string text = codec::encode(alone, "user");
+  if (spec.prerequisites.empty()) return text;
+  std::string list;
+  for (const auto& id : spec.prerequisites) list += (list.empty() ? "\"" : ",\"") + id + "\"";
+  text.insert(text.size() - 1, ",\"awaits\":[" + list + "]");
+  return text;
+}
+
 }  // namespace eiderreel::standin
--- a/tests/standin/world.cc
+++ b/tests/standin/world.cc
@@ -6,6 +6,7 @@
 
 #include <cstdio>
 
+#include "standin/old_build.h"
 #include "standin/text.h"
 
 namespace eiderreel::standin {
@@ -59,17 +60,22 @@
     w_.schedule(w_.now_ + std::max<Ms>(delay, 1), guarded(std::move(f)));
   }
   void http(HttpRequest r, std::function<void(HttpReply)> done) override {
-    w_.call(name(), std::move(r), [this, alive = alive_, done = std::move(done)](HttpReply reply) {
-      if (!*alive) return;
-      w_.when_awake(index_, [this, alive, done, reply] {
-        if (!*alive) return;
-        sink()->node = name();
-        done(reply);
-      });
-    });
+    const bool old = w_.procs_[index_].old;
+    if (old) r.body = as_old_build_writes(r.body);
+    w_.call(name(), std::move(r),
+            [this, old, alive = alive_, done = std::move(done)](HttpReply reply) {
+              if (!*alive) return;
+              if (old) reply.body = as_old_build_reads(reply.body);
+              w_.when_awake(index_, [this, alive, done, reply] {
+                if (!*alive) return;
+                sink()->node = name();
+                done(reply);
+              });
+            });
   }
-  void send(const std::string& node, const std::string& bytes) override {
+  void send(const std::string& node, const std::string& sent) override {
     World* w = &w_;
+    const std::string bytes = w_.procs_[index_].old ? as_old_build_sends(sent) : sent;
     w_.deliver(
         name(), node,
         [w, node, bytes] {
@@ -112,7 +118,7 @@
       state_service_({[this] { return now_; },
                       [this](Ms t, std::function<void()> f) { schedule(t, std::move(f)); },
                       [this] { return chance(); }},
-                     {o.state_write_rps, o.limits, o.changes_kept}) {
+                     {o.state_write_rps, o.limits, o.changes_kept, o.value_kb, o.txn_ops}) {
   sink()->world = this;
   for (int i = 0; i < o_.nodes; ++i) {
     Proc p;
@@ -132,7 +138,10 @@
     s.lease_s = o_.lease_s;
     s.cancel_s = o_.cancel_s;
     s.state_rps = o_.state_rps;
-    s.state_write_rps = o_.state_write_rps;
+    s.state_write_rps = std::min(o_.state_write_rps, o_.next_write_rps.value_or(1e9));
+    s.state_value_kb = std::min(o_.value_kb, o_.next_value_kb.value_or(1e9));
+    s.state_txn_ops = std::min(o_.txn_ops, o_.next_txn_ops.value_or(1 << 20));
+    p.old = o_.old_nodes.count(i) > 0;
     procs_.push_back(std::move(p));
   }
   for (int i = 0; i < o_.machines; ++i) add_worker(i % 2 ? "b" : "a", false, 0);
@@ -244,7 +253,7 @@
               Proc& p = procs_[i];
               if (!p.up) return back({});
               sink()->node = p.name;
-              p.node->request(r.method, r.path, r.body,
+              p.node->request(r.method, r.path, p.old ? as_old_build_reads(r.body) : r.body,
                               [this, i, from, r, back](int status, std::string body) {
                                 for (auto at = body.find("\"launch\""); at != std::string::npos;
                                      at = body.find("\"launch\"", at + 1))
@@ -327,6 +336,21 @@
   schedule(now_ + static_cast<Ms>(back_after_s * 1000), [this, i] { start_node(i); });
 }
 
+void World::upgrade(int node, double back_after_s) {
+  procs_[static_cast<std::size_t>(node)].old = false;
+  crash(node, back_after_s);
+}
+
+void World::downgrade(int node, double back_after_s) {
+  procs_[static_cast<std::size_t>(node)].old = true;
+  crash(node, back_after_s);
+}
+
+void World::limit_state(double value_kb, int txn_ops, double write_rps) {
+  note("state service has lower limits");
+  state_service_.set_limits(value_kb, txn_ops, write_rps);
+}
+
 int World::owner_of(int part) const {
   const std::string* record = state_service_.value("e/part/" + std::to_string(part));
   if (!record) return -1;
@@ -590,7 +614,7 @@
         end_task(w, key, t, "stopped");
       } else {
         const bool bad = w.sick || failing_jobs_.count(key.first) > 0;
-        if (!bad) checker_.task_done(key.first, key.second);
+        if (!bad) checker_.task_done(now(), key.first, key.second);
         end_task(w, key, t, bad ? "error" : "done");
       }
     }
@@ -799,8 +823,15 @@
   try_submit(spec, now() + 60);
 }
 
+void World::submit_chained(const JobSpec& spec) {
+  const bool accepted = std::all_of(spec.prerequisites.begin(), spec.prerequisites.end(),
+                                    [&](const std::string& id) { return !phase(id).empty(); });
+  if (accepted) return submit(spec);
+  at(now() + 0.05, [this, spec] { submit_chained(spec); });
+}
+
 void World::repeat(int node, const JobSpec& spec) {
-  raw(node, "POST", "/v1/jobs", codec::encode(spec, "user"),
+  raw(node, "POST", "/v1/jobs", submission_text(spec),
       [this, id = spec.id](int status, const std::string& body) {
         checker_.submit_answer(now(), id, status);
         if (status != 200 && status != 201) return;
@@ -818,7 +849,7 @@
 }
 
 void World::try_submit(const JobSpec& spec, double until) {
-  raw(pick_node(), "POST", "/v1/jobs", codec::encode(spec, "user"),
+  raw(pick_node(), "POST", "/v1/jobs", submission_text(spec),
       [this, spec, until, began = now()](int status, const std::string&) {
         checker_.submit_answer(now(), spec.id, status);
         if (status == 200 || status == 201) {
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -28,8 +29,14 @@
   int machines = 6;  // of 8 CPUs, up from the start
   int capacity = 4;  // further ones for rent, of each kind in each zone
   double boot_s = 6;
-  double latency_ms = 4;             // of a message, at most
-  bool limits = false;               // whether the state service refuses above its rates
+  double latency_ms = 4;  // of a message, at most
+  bool limits = false;    // whether the state service refuses above its rates
+  double value_kb = 8;    // of the state service
+  int txn_ops = 16;
+  // Limits of the state service that the controllers are told of, beside the ones in force.
+  std::optional<double> next_value_kb, next_write_rps;
+  std::optional<int> next_txn_ops;
+  std::set<int> old_nodes;           // controllers that start as the build before prerequisites
   std::size_t changes_kept = 10000;  // by the state service, for followers
 };
 
@@ -50,6 +57,8 @@
   // How long each of its tasks runs, where they differ.
   void set_run_s(const std::string& id, std::vector<double> run_s) { runs_[id] = std::move(run_s); }
   void submit(const JobSpec& spec);
+  // Submits it as soon as all jobs that it needs are accepted.
+  void submit_chained(const JobSpec& spec);
   void cancel(const std::string& id);
   // A submission again, to one node; and one that must not be accepted.
   void repeat(int node, const JobSpec& spec);
@@ -73,6 +82,11 @@
 
   // --- troubles ---
   void crash(int node, double back_after_s = 4);
+  // It is killed and comes back as the new build.
+  void upgrade(int node, double back_after_s = 4);
+  void downgrade(int node, double back_after_s = 4);  // it comes back as the earlier build
+  // From now on these limits are in force at the state service.
+  void limit_state(double value_kb, int txn_ops, double write_rps);
   // The process stands still while its clocks run on; then all that came meanwhile is taken in.
   void freeze(int node, double for_s);
   void cut(std::set<std::string> a, std::set<std::string> b, CutMode mode);
@@ -107,6 +121,12 @@
   std::vector<std::string> machines_of(const std::string& job) const;
   std::size_t machines_up() const;
   std::size_t commits() const { return state_service_.counters().commits; }
+  // Requests that were larger than the state service takes.
+  std::size_t refused_too_large() const { return state_service_.counters().too_large; }
+  const std::string* stored(const std::string& key) const { return state_service_.value(key); }
+  std::size_t keys_under(const std::string& prefix) const {
+    return state_service_.keys_under(prefix);
+  }
   std::size_t refused_over_limit() const { return state_service_.counters().over_limit; }
   std::size_t launches_to(const std::string& machine) const;
   // Reports that a node has answered with 200.
@@ -142,6 +162,7 @@
     std::unique_ptr<Controller> node;
     std::uint64_t life = 0;
     bool up = false;
+    bool old = false;  // runs the build before prerequisites
     Ms frozen_until = 0;
     std::shared_ptr<std::function<void()>> tick;
   };
