A controller that stood still tells no answer that is older than what came meanwhile

Cause: an owner's answer about an open job, or the state service's, was told whenever it was found. Excluded: chains; both jobs are ordinary ones, and the path is as old as the answers.

An answer about an open job that took longer than 0.7 s, the time in which an owner has to answer, is not told: 503, ask again.

--- a/src/actors/job_api.cc
+++ b/src/actors/job_api.cc
@@ -122,9 +122,10 @@
   if (auto final_phase = v.finals.find(id); final_phase != v.finals.end())
     return tell_final(id, final_phase->second.phase, cancel, reply);
   if (!v.jobs.count(id)) return read_open(id, cancel, std::move(reply));
-  ask_owner(id, cancel, [this, id, cancel, reply](int status, std::string body) {
-    if (status != 0) return tell_open(id, cancel, status, std::move(body), reply);
-    read_open(id, cancel, reply);
+  const Ms asked_at = rt_.now();
+  ask_owner(id, cancel, [this, id, cancel, asked_at, reply](int status, std::string body) {
+    if (status == 0) return read_open(id, cancel, reply);
+    tell_open(id, cancel, {asked_at, status, std::move(body)}, reply);
   });
 }
 
@@ -135,22 +136,27 @@
 
 // What the owner or the state service said of an open job may have been long on its way. Guard:
 // another node may have told the user of its end meanwhile; an older answer would go back on that.
-void JobApi::tell_open(const std::string& id, bool cancel, int status, std::string body,
+// Guard: a controller that stood still finds such an answer before any change that came meanwhile.
+void JobApi::tell_open(const std::string& id, bool cancel, OpenAnswer answer,
                        const Reply& reply) const {
   const auto& finals = state_store_.view().finals;
-  if (auto final_phase = finals.find(id); final_phase != finals.end())
-    return tell_final(id, final_phase->second.phase, cancel, reply);
-  reply(status, std::move(body));
+  if (auto end = finals.find(id); end != finals.end())
+    return tell_final(id, end->second.phase, cancel, reply);
+  if (!cancel && rt_.now() - answer.asked_at > k::kOpenAnswerMs)
+    return refuse(reply, "the answer took too long; ask again");
+  reply(answer.status, std::move(answer.body));
 }
 
 // The job's record first, then its final one: it moves from the first to the second only.
 void JobApi::read_open(const std::string& id, bool cancel, Reply reply) {
-  state_store_.read(codec::job_key(id), [this, id, cancel, reply](auto row) {
+  const Ms asked_at = rt_.now();
+  state_store_.read(codec::job_key(id), [this, id, cancel, asked_at, reply](auto row) {
     if (!row) return refuse(reply, "the state service does not answer");
     if (row->stamp != 0) {
       if (cancel) return refuse(reply, "the job's owner cannot be reached; try again");
       if (row->has_prerequisites()) return tell_waiting(id, reply);
-      return tell_open(id, cancel, 200, codec::job_status(id, {JobPhase::queued, 0, 0}), reply);
+      return tell_open(id, cancel, {asked_at, 200, codec::job_status(id, {JobPhase::queued, 0, 0})},
+                       reply);
     }
     state_store_.read(codec::final_key(id), [this, id, cancel, reply](auto row) {
       if (!row) return refuse(reply, "the state service does not answer");
@@ -165,14 +171,13 @@
 // is as new as the question can tell. Guard: its owner may not know yet what this view knows of a
 // cancelled prerequisite, so that is told by the owner alone, or by the job's own final record.
 void JobApi::tell_waiting(const std::string& id, const Reply& reply) {
-  state_store_.catch_up([this, id, reply](bool caught_up) {
+  state_store_.catch_up([this, id, asked_at = rt_.now(), reply](bool caught_up) {
     const View& v = state_store_.view();
-    if (auto end = v.finals.find(id); end != v.finals.end())
-      return tell_final(id, end->second.phase, false, reply);
-    if (!caught_up || !v.jobs.count(id) || v.dependencies.cancelled(id) ||
-        state_store_.replica().is_unresolved(id))
+    const bool ended = v.finals.count(id) > 0;
+    if (!ended && (!caught_up || !v.jobs.count(id) || v.dependencies.cancelled(id) ||
+                   state_store_.replica().is_unresolved(id)))
       return refuse(reply, "the job's owner cannot be reached; ask again");
-    reply(200, codec::job_status(id, {JobPhase::queued, 0, 0}));
+    tell_open(id, false, {asked_at, 200, codec::job_status(id, {JobPhase::queued, 0, 0})}, reply);
   });
 }
 
--- a/src/actors/job_api.h
+++ b/src/actors/job_api.h
@@ -40,8 +40,13 @@
   void ask_owner(const std::string& id, bool cancel, Reply reply);
   void look_up(const std::string& id, bool cancel, Reply reply);
   void tell_final(const std::string& id, JobPhase phase, bool cancel, const Reply& reply) const;
-  void tell_open(const std::string& id, bool cancel, int status, std::string body,
-                 const Reply& reply) const;
+  // What is known of an open job, from a question that was asked at `asked_at`.
+  struct OpenAnswer {
+    Ms asked_at = 0;
+    int status = 0;
+    std::string body;
+  };
+  void tell_open(const std::string& id, bool cancel, OpenAnswer answer, const Reply& reply) const;
   void read_open(const std::string& id, bool cancel, Reply reply);
   void tell_waiting(const std::string& id, const Reply& reply);
   void tell_acceptance(const std::string& id, Acceptance acceptance, const Reply& reply);
--- a/src/constants.h
+++ b/src/constants.h
@@ -110,10 +110,11 @@
 constexpr std::size_t kBodyReadMax = 131072;  // bytes; what is longer is not even read
 constexpr std::uint32_t kTasksMax = 100000;   // protocol
 constexpr Ms kMeshAskMs = 700;                // ms; a user waits 2 s for a poll, two tries fit
-constexpr int kRetryAfterS = 1;               // s; told to users who are refused
-constexpr int kHeadersMax = 16384;            // bytes
-constexpr int kIdleConnectionS = 60;          // s; users poll every 5 s, so an idle one is dead
-constexpr double kPendingLeast = 32;          // requests to the state service waiting at once
+constexpr Ms kOpenAnswerMs = 700;     // ms; what is older says nothing of an open job any more
+constexpr int kRetryAfterS = 1;       // s; told to users who are refused
+constexpr int kHeadersMax = 16384;    // bytes
+constexpr int kIdleConnectionS = 60;  // s; users poll every 5 s, so an idle one is dead
+constexpr double kPendingLeast = 32;  // requests to the state service waiting at once
 
 constexpr int kLatencyBuckets = 12;      // of the histograms in /metrics
 constexpr double kLatencyLowMs = 1;      // ms; steps of a timer
--- a/tests/cancellation_test.cc
+++ b/tests/cancellation_test.cc
@@ -102,6 +102,27 @@
   }
 }
 
+// A controller stands still between a question and its answer. What it finds when it goes on is
+// older than the cancellation that another controller has told meanwhile.
+TEST(AControllerStoodStill, AndTellsNoAnswerFromBefore) {
+  std::size_t met = 0;
+  for (int offset = 0; offset < 30; ++offset) {
+    Options o;
+    o.seed = static_cast<std::uint64_t>(offset);
+    World w(o);
+    w.at(5, [&w] { w.submit(w.job("run-1", "blue", 1, 1, 200)); });
+    for (int n = 0; n < 12; ++n)
+      w.at(20 + 0.001 * n, [&w] { w.poll_once(0, "run-1", [](int, const std::string&) {}); });
+    w.at(20.008 + 0.0005 * offset, [&w] { w.freeze(0, 2.5); });
+    w.at(20.1, [&w] { w.cancel_at(2, "run-1"); });
+    w.at(22, [&] { met += w.confirmed("run-1").node >= 0; });
+    w.run_until(40);
+    EXPECT_EQ(w.phase("run-1"), "cancelled");
+    expect_rules_kept(w, std::to_string(offset));
+  }
+  EXPECT_GE(met, 10u);
+}
+
 // Every direct command is held up: the kills that come with answers to reports are enough, also for
 // tasks that were told to save, for longer than a cancellation may take.
 TEST(CommandsAreHeldUp, KillsOfACancelledJobComeWithTheAnswersToReports) {
--- a/tests/random_days_test.cc
+++ b/tests/random_days_test.cc
@@ -27,12 +27,15 @@
     add_jobs();
     for (double t = kTroublesBegin; t < kTroublesEnd - 40; t += number_in(10, 35))
       for (int n = 0; n < 3; ++n) add_trouble(t + number_in(0, 8));
+    if (number % 3 == 0)
+      world_.at(number_in(40, kTroublesEnd), [this] { world_.limit_state(2, 5, 60); });
     world_.at(kTroublesEnd, [this] { end_all_troubles(); });
   }
 
   World& world() { return world_; }
   void play() { world_.run_until(kDayEnds); }
   std::size_t cancelled() const { return cancelled_; }
+  std::size_t dependents() const { return dependents_; }
 
  private:
   // Reports every second, or so seldom that two leases outlast a cancellation.
@@ -45,6 +48,11 @@
       o.lease_s = 26;
       o.cancel_s = 44;
     }
+    if (number % 3 == 0) {  // lower limits come on some day
+      o.next_value_kb = 2;
+      o.next_txn_ops = 5;
+      o.next_write_rps = 60;
+    }
     lease_s_ = o.lease_s;
     return o;
   }
@@ -75,13 +83,23 @@
         job.checkpoint_s = 5;
         job.save_s = 4;
       }
-      world_.at(t, [this, job] { world_.submit(job); });
+      if (!service && next > 1 && likely(0.6)) add_prerequisites(job, next);
+      world_.at(t, [this, job] { world_.submit_chained(job); });
       if (!service && likely(0.3)) continue;
       ++cancelled_;
       world_.at(t + number_in(0.1, service ? 90 : 30), [this, id] { world_.cancel(id); });
     }
   }
 
+  // Some of the jobs before, of any team, whatever has become of them.
+  void add_prerequisites(JobSpec& job, int number) {
+    ++dependents_;
+    std::set<std::string> needed;
+    for (int n = 1 + pick(3); n > 0; --n)
+      needed.insert("run-" + std::to_string(std::max(1, number - 1 - pick(12))));
+    job.prerequisites.assign(needed.begin(), needed.end());
+  }
+
   void during(double t, double for_s, std::function<void()> begin, std::function<void()> end) {
     world_.at(t, std::move(begin));
     world_.at(t + for_s, std::move(end));
@@ -209,7 +227,7 @@
   std::mt19937_64 random_;
   double lease_s_ = 0;
   World world_;
-  std::size_t cancelled_ = 0;
+  std::size_t cancelled_ = 0, dependents_ = 0;
 };
 
 std::pair<std::uint64_t, std::uint64_t> days() {
@@ -227,6 +245,8 @@
     RandomDay day(number);
     day.play();
     EXPECT_GT(day.cancelled(), 20u);
+    EXPECT_GT(day.dependents(), 10u);
+    EXPECT_EQ(day.world().refused_too_large(), 0u);
     EXPECT_GT(day.world().checker().starts(), 50u);
     expect_rules_kept(day.world(), "day " + std::to_string(number));
     if (std::getenv("EIDERREEL_TRACE"))
--- a/tests/standin/world.cc
+++ b/tests/standin/world.cc
@@ -899,8 +899,14 @@
   return it == confirmed_.end() ? Confirmed{} : it->second;
 }
 
-void World::try_cancel(const std::string& id, int n) {
-  const int node = pick_node();
+void World::cancel_at(int node, const std::string& id) {
+  checker_.cancel_asked(id);
+  try_cancel_at(node, id, 60);
+}
+
+void World::try_cancel(const std::string& id, int n) { try_cancel_at(pick_node(), id, n); }
+
+void World::try_cancel_at(int node, const std::string& id, int n) {
   raw(node, "POST", "/v1/jobs/" + id + "/cancel", "",
       [this, id, n, node](int status, const std::string& body) {
         if (status == 200) {
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -60,6 +60,7 @@
   // Submits it as soon as all jobs that it needs are accepted.
   void submit_chained(const JobSpec& spec);
   void cancel(const std::string& id);
+  void cancel_at(int node, const std::string& id);  // asks this node first
   // A submission again, to one node; and one that must not be accepted.
   void repeat(int node, const JobSpec& spec);
   void submit_odd(int node, const std::string& body);
@@ -216,6 +217,7 @@
   Worker& add_worker(const std::string& zone, bool spot, double boot_s);
   void try_submit(const JobSpec& spec, double until);
   void try_cancel(const std::string& id, int n);
+  void try_cancel_at(int node, const std::string& id, int n);
   void poll_loop(const std::string& id);
   int pick_node();
   Ms latency();
