The cloud's list is read to its end, however many pages it has

Machines that were gone stayed known, and failed ones were never returned. The page that was over the limit is asked for again. The stand-in's list has pages now.

--- a/src/actors/fleet.cc
+++ b/src/actors/fleet.cc
@@ -363,7 +363,13 @@
     in_list_.clear();
     list_sent_ = rt_.now();
   }
-  cloud_.call({"", "GET", path, "", 0}, [this](HttpReply r) {
+  cloud_.call({"", "GET", path, "", 0}, [this, since](HttpReply r) {
+    // Guard: a list of more pages than a moment's rate allows began anew for ever, and was never
+    // read to its end.
+    if (r.status == k::kOverLimit && !since.empty() && owner_.leading()) {
+      rt_.after(k::kRetryMs, [this, since] { list(since); });
+      return;
+    }
     auto page = r.status == 200 ? codec::parse_machines(r.body) : std::nullopt;
     if (!page) {
       listing_ = false;
--- a/src/constants.h
+++ b/src/constants.h
@@ -131,6 +131,7 @@
 constexpr std::size_t kMeshBacklogMax = 1 << 20;  // bytes unsent before a link is dropped
 
 // --- cloud --------------------------------------------------------------------------------
+constexpr int kOverLimit = 429;        // status of a request over the limit; nothing was done
 constexpr Ms kCloudTimeoutMs = 8000;   // ms
 constexpr Ms kListEveryMs = 3000;      // ms
 constexpr Ms kCatalogEveryMs = 60000;  // ms; prices move slowly
--- a/tests/standin/world.cc
+++ b/tests/standin/world.cc
@@ -17,6 +17,7 @@
 constexpr Ms kStep = 50;                   // ms; pace of the workers
 constexpr double kCpus = 8, kMemory = 64;  // of a machine
 constexpr double kFetch = 1.0;             // GB a second
+constexpr std::size_t kPageMost = 500;     // machines in one answer of the cloud
 
 // Log lines of the nodes become lines of the trace.
 class TraceSink : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
@@ -427,19 +428,31 @@
         lose(*it->second, "returned");
     return done({200, "{}"});
   }
+  list_machines(r.path, done);
+}
+
+// A page of the machines, in the order of their names.
+void World::list_machines(const std::string& path, const Done& done) const {
+  const std::string since = query_parameter(path, "since");
+  const std::string page = query_parameter(path, "page");
+  std::size_t room = page.empty() ? kPageMost : std::min(kPageMost, std::stoul(page));
   std::string rows;
-  for (const auto& [id, w] : workers_) {
-    if (w->gone) continue;
+  bool more = false;
+  for (auto it = workers_.upper_bound(since); it != workers_.end(); ++it) {
+    const Worker& w = *it->second;
+    if (w.gone) continue;
+    if (room-- == 0) {
+      more = true;
+      break;
+    }
+    const char* phase = w.stopped ? "failed" : w.up ? "running" : "starting";
     rows += (rows.empty() ? "" : ",") +
-            ("{\"name_id\":\"" + id + "\",\"endpoint\":\"" + w->addr +
-             "\",\"hull\":\"box\",\"berth\":\"" + w->zone +
-             "\",\"driftwood\":" + (w->spot ? "true" : "false") + ",\"phase\":\"" +
-             (w->stopped ? "failed"
-              : w->up    ? "running"
-                         : "starting") +
-             "\",\"held_s\":" + std::to_string(now() - w->rented_at) + "}");
+            ("{\"name_id\":\"" + w.id + "\",\"endpoint\":\"" + w.addr +
+             "\",\"hull\":\"box\",\"berth\":\"" + w.zone +
+             "\",\"driftwood\":" + (w.spot ? "true" : "false") + ",\"phase\":\"" + phase +
+             "\",\"held_s\":" + std::to_string(now() - w.rented_at) + "}");
   }
-  done({200, "{\"hosts\":[" + rows + "],\"more\":false}"});
+  done({200, "{\"hosts\":[" + rows + "],\"more\":" + (more ? "true" : "false") + "}"});
 }
 
 // ------------------------------------------------------------------------------ workers
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -196,6 +196,7 @@
   const CutMode* cut_between(const std::string& a, const std::string& b) const;
   void call(const std::string& from, HttpRequest r, Done done);
   void serve_cloud(const HttpRequest& r, Done done);
+  void list_machines(const std::string& path, const Done& done) const;
   void serve_worker(Worker& w, const HttpRequest& r, Done done);
   double chance();
   void look_for_room();
