--- a/src/actors/fleet.cc
+++ b/src/actors/fleet.cc
@@ -322,13 +322,14 @@
 }
 
 void Fleet::rent(const MachineType& t, const std::string& zone, bool spot, int count) {
-  // Invariant 10: the stamp of our claim is never given twice, and the counter not within it.
+  // Invariant 10: the revision of our claim is never given twice, and the counter not within it.
   auto part = state_store_.view().parts.find(0);
   if (part == state_store_.view().parts.end() || part->second.owner != s_.node) return;
   renting_.insert(slot(t, zone, spot));
-  send_charter(t, zone, spot, count,
-               "r-" + std::to_string(part->second.stamp) + "-" + std::to_string(++charter_counter_),
-               k::kCommitTries);
+  send_charter(
+      t, zone, spot, count,
+      "r-" + std::to_string(part->second.revision) + "-" + std::to_string(++charter_counter_),
+      k::kCommitTries);
 }
 
 void Fleet::send_charter(const MachineType& t, const std::string& zone, bool spot, int count,
@@ -425,7 +426,7 @@
       if (m == v.machines.end())
         release(id, record, 0);
       else if (m->second.record.part >= 0 && e.listed.phase == "failed")
-        release(id, record, m->second.stamp);
+        release(id, record, m->second.revision);
     }
     ++it;
   }
@@ -440,12 +441,12 @@
 // Invariant 10: released durably first. A machine that stopped by itself holds nothing that
 // could run, so its owner need not be asked; one that never came up has no owner.
 void Fleet::release(const std::string& id, const codec::MachineRecord& record,
-                    std::uint64_t stamp) {
+                    std::uint64_t revision) {
   if (!changing_.insert(id).second) return;
   Commit c;
   c.pace = Pace::fleet;
   c.nonce = state_store_.nonce();
-  c.guards = {{codec::machine_key(id), stamp}};
+  c.preconditions = {{codec::machine_key(id), revision}};
   codec::MachineRecord released = record;
   released.part = -1;
   c.writes = {{codec::machine_key(id), codec::encode(released, c.nonce), false}};
@@ -464,7 +465,7 @@
     spdlog::info("machine forgotten machine={}", id);
     gone_.insert(id);
     mine.push_back(id);
-    c.guards.push_back({codec::machine_key(id), m->second.stamp});
+    c.preconditions.push_back({codec::machine_key(id), m->second.revision});
     c.writes.push_back({codec::machine_key(id), "", false});
     if (static_cast<int>(mine.size()) == s_.batch()) break;
   }
--- a/src/actors/fleet.h
+++ b/src/actors/fleet.h
@@ -59,7 +59,7 @@
   void rent(const MachineType& t, const std::string& zone, bool spot, int count);
   void send_charter(const MachineType& t, const std::string& zone, bool spot, int count,
                     const std::string& charter, int tries);
-  void release(const std::string& id, const codec::MachineRecord& record, std::uint64_t stamp);
+  void release(const std::string& id, const codec::MachineRecord& record, std::uint64_t revision);
   void return_released();
   void forget(const std::vector<std::string>& ids);
   const MachineType* type(const std::string& name) const;
--- a/src/actors/job_acceptor.cc
+++ b/src/actors/job_acceptor.cc
@@ -109,7 +109,7 @@
   if (p->written == p->parts.size()) {
     const std::string last = codec::prerequisite_key(job.id, p->nonce, p->parts.size() - 1);
     return commit_record(job, codec::encode_spread(job, p->parts.size(), p->nonce), p->nonce,
-                         {{last, p->last_part_stamp}},
+                         {{last, p->last_part_revision}},
                          [this, p](Acceptance acceptance) { end(p, acceptance); });
   }
   Commit c;
@@ -120,31 +120,32 @@
          (c.writes.empty() || bytes + p->parts[next].size() <= k::kTransactionBytes)) {
     const std::string key = codec::prerequisite_key(job.id, p->nonce, next);
     bytes += p->parts[next].size();
-    c.guards.push_back({key, 0});
+    c.preconditions.push_back({key, 0});
     c.writes.push_back({key, p->parts[next], false});
     ++next;
   }
-  c.done = [this, p, next](Outcome out, std::uint64_t stamp) {
+  c.done = [this, p, next](Outcome out, std::uint64_t revision) {
     if (out != Outcome::ok) return end(p, Acceptance::unconfirmed);
     p->written = next;
-    p->last_part_stamp = stamp;
+    p->last_part_revision = revision;
     write_parts(p);
   };
   state_store_.commit(std::move(c));
 }
 
-// Any node may accept: the guards say that nobody has, and that it was never over before.
+// Any node may accept: the preconditions say that nobody has, and that it was never over before.
 void JobAcceptor::commit_record(const JobSpec& job, std::string value, std::string nonce,
-                                std::vector<codec::Guard> guards, Done done) {
+                                std::vector<codec::Precondition> preconditions, Done done) {
   if (value.size() > value_limit()) return done(Acceptance::too_large);
   Commit c;
   c.nonce = std::move(nonce);
-  c.guards = std::move(guards);
-  c.guards.insert(c.guards.begin(), {{codec::job_key(job.id), 0}, {codec::final_key(job.id), 0}});
+  c.preconditions = std::move(preconditions);
+  c.preconditions.insert(c.preconditions.begin(),
+                         {{codec::job_key(job.id), 0}, {codec::final_key(job.id), 0}});
   c.writes = {{codec::job_key(job.id), std::move(value), false}};
-  c.done = [id = job.id, done = std::move(done)](Outcome out, std::uint64_t stamp) {
+  c.done = [id = job.id, done = std::move(done)](Outcome out, std::uint64_t revision) {
     if (out == Outcome::ok) {
-      spdlog::info("job accepted job={} stamp={}", id, stamp);
+      spdlog::info("job accepted job={} revision={}", id, revision);
       return done(Acceptance::accepted);
     }
     if (out == Outcome::conflict || out == Outcome::superseded) return done(Acceptance::known);
--- a/src/actors/job_acceptor.h
+++ b/src/actors/job_acceptor.h
@@ -36,7 +36,7 @@
     std::string nonce;
     std::vector<std::string> parts;  // values of its prerequisites, where they need several
     std::size_t written = 0;         // parts that are durable
-    std::uint64_t last_part_stamp = 0;
+    std::uint64_t last_part_revision = 0;
   };
   using Pending = std::shared_ptr<Submission>;
 
@@ -47,7 +47,7 @@
   void split(Submission& submission) const;
   void write_parts(const Pending& p);
   void commit_record(const JobSpec& job, std::string value, std::string nonce,
-                     std::vector<codec::Guard> guards, Done done);
+                     std::vector<codec::Precondition> preconditions, Done done);
   void end(const Pending& p, Acceptance acceptance);
   std::size_t value_limit() const { return static_cast<std::size_t>(s_.state_value_kb * 1024); }
 
--- a/src/actors/job_api.cc
+++ b/src/actors/job_api.cc
@@ -152,7 +152,7 @@
   const Ms asked_at = rt_.now();
   state_store_.read(codec::job_key(id), [this, id, cancel, asked_at, reply](auto row) {
     if (!row) return refuse(reply, "the state service does not answer");
-    if (row->stamp != 0) {
+    if (row->revision != 0) {
       if (cancel) return refuse(reply, "the job's owner cannot be reached; try again");
       if (row->has_prerequisites()) return tell_waiting(id, reply);
       return tell_open(id, cancel, {asked_at, 200, codec::job_status(id, {JobPhase::queued, 0, 0})},
@@ -160,7 +160,8 @@
     }
     state_store_.read(codec::final_key(id), [this, id, cancel, reply](auto row) {
       if (!row) return refuse(reply, "the state service does not answer");
-      if (row->stamp == 0 || !row->final_phase) return reply(404, codec::error_body("no such job"));
+      if (row->revision == 0 || !row->final_phase)
+        return reply(404, codec::error_body("no such job"));
       state_store_.replica().apply(*row, true);
       tell_final(id, *row->final_phase, cancel, reply);
     });
--- a/src/actors/machine_assigner.cc
+++ b/src/actors/machine_assigner.cc
@@ -101,7 +101,7 @@
   c.pace = Pace::fleet;
   c.nonce = state_store_.nonce();
   for (const auto& id : ids) {
-    c.guards.push_back({codec::machine_key(id), 0});
+    c.preconditions.push_back({codec::machine_key(id), 0});
     c.writes.push_back(
         {codec::machine_key(id), codec::encode(assigning_.at(id).record, c.nonce), false});
   }
--- a/src/actors/metrics.cc
+++ b/src/actors/metrics.cc
@@ -197,7 +197,7 @@
     auto entry = v.parts.find(part);
     w.Key("owner");
     w.String(entry == v.parts.end() ? "" : entry->second.owner.c_str());
-    count("term", entry == v.parts.end() ? 0 : entry->second.stamp);
+    count("term", entry == v.parts.end() ? 0 : entry->second.revision);
     if (auto n = needs.find(part); n != needs.end()) {
       number("waiting_cpus", n->second.waiting_cpus);
       number("used_cpus", n->second.used_cpus);
--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -231,7 +231,7 @@
   for (auto& [p, o] : owned_) {
     if (!o.active) continue;  // it will read the view
     if (p == part) {
-      o.core->add_machine(id, it->second.stamp, it->second.stamp > o.core->term(), rt_.now());
+      o.core->add_machine(id, it->second.revision, it->second.revision > o.core->term(), rt_.now());
     } else if (o.core->has_machine(id)) {
       // Given away by our own commit, idle; or released. Nothing of ours is on it.
       if (auto deferred = o.deferred.find(id); deferred != o.deferred.end()) {
@@ -266,12 +266,12 @@
   Commit c;
   c.pace = Pace::fleet;
   c.nonce = state_store_.nonce();
-  c.guards = {{codec::part_key(part), term}};
+  c.preconditions = {{codec::part_key(part), term}};
   for (const auto& id : machines) {
     const auto& m = v.machines.at(id);
     codec::MachineRecord record = m.record;
     record.part = to;
-    c.guards.push_back({codec::machine_key(id), m.stamp});
+    c.preconditions.push_back({codec::machine_key(id), m.revision});
     c.writes.push_back({codec::machine_key(id), codec::encode(record, c.nonce), false});
     spdlog::info("machine moves machine={} from={} to={} term={}", id, part, to, term);
   }
--- a/src/actors/owner.h
+++ b/src/actors/owner.h
@@ -80,7 +80,7 @@
   struct Flush {
     Ms last = 0;
     bool in_flight = false;
-    std::map<std::string, std::uint64_t> progress_stamps;  // by key
+    std::map<std::string, std::uint64_t> progress_revisions;  // by key
     bool cancel_asked = false;  // by its user, while it waited for other jobs
     // The final commit that was sent and is not proven undone: it may have landed, or still may.
     std::optional<FinalCommit> final_commit;
@@ -109,8 +109,8 @@
   int part_of_job(const std::string& id) const;
   void claim_vacant();
   void claim(int part);
-  void activate(int part, std::uint64_t stamp);
-  void load_done(int part, std::uint64_t stamp);
+  void activate(int part, std::uint64_t revision);
+  void load_done(int part, std::uint64_t revision);
   void hand_back();
   void hand_over(int part, const char* reason);
   bool settled() const;
@@ -118,7 +118,7 @@
   bool hears() const;
   bool has_lost_workers(const std::string& node) const;
   void hand_over_if_workers_lost();
-  void give_up(int part, std::uint64_t stamp);
+  void give_up(int part, std::uint64_t revision);
   void drop(int part, const char* reason);
   void answer(Owned& o, const std::string& machine, std::vector<Command> commands, Reply reply);
   void pump(Owned& o);
@@ -140,7 +140,7 @@
   void finished(int part, const std::string& id, std::uint64_t term, Outcome out, JobPhase phase,
                 const Reply& reply);
   bool may_promise(const std::string& node, const mesh::PromiseRequest& a) const;
-  std::vector<codec::Guard> job_guards(int part, const std::string& id) const;
+  std::vector<codec::Precondition> job_preconditions(int part, const std::string& id) const;
 
   Runtime& rt_;
   const Settings& s_;
@@ -153,7 +153,7 @@
   std::set<int> claiming_;                  // a claim of ours is on its way
   std::set<int> in_doubt_;                  // one may still land, for as long as our grant lasts
   std::map<int, Ms> promised_to_peers_;     // parts that we must not claim until then
-  std::map<int, std::uint64_t> giving_up_;  // dropped by us, their keys (stamps) not yet deleted
+  std::map<int, std::uint64_t> giving_up_;  // dropped by us, their keys (revisions) not yet deleted
   // Promises of peers to us: the sending time of the question, and until when each holds.
   std::map<std::uint64_t, Ms> promise_requests_;
   std::map<std::string, Ms> peer_promises_;
--- a/src/actors/owner_jobs.cc
+++ b/src/actors/owner_jobs.cc
@@ -45,11 +45,11 @@
   const View& v = state_store_.view();
   const auto& job = v.jobs.at(id);
   const auto readiness = v.dependencies.readiness(id);
-  const std::uint64_t free_since = readiness ? readiness->revision : job.stamp;
+  const std::uint64_t free_since = readiness ? readiness->revision : job.revision;
   const bool older = free_since < o.core->term();
   const Ms ready_at = readiness ? readiness->at : job.spec.accepted_at;
   const Ms age = older || readiness ? std::max<Ms>(0, rt_.wall() - ready_at) : 0;
-  o.core->open_job(job.spec, job.stamp, older, done, age,
+  o.core->open_job(job.spec, job.revision, older, done, age,
                    std::max<Ms>(0, ready_at - job.spec.accepted_at));
   urgency_changed(id);
 }
@@ -118,11 +118,11 @@
   reply(200, codec::job_status(a.job, {JobPhase::queued, 0, 0}));
 }
 
-std::vector<codec::Guard> Owner::job_guards(int part, const std::string& id) const {
+std::vector<codec::Precondition> Owner::job_preconditions(int part, const std::string& id) const {
   const auto& jobs = state_store_.view().jobs;
   const auto job = jobs.find(id);
   return {{codec::part_key(part), owned_.at(part).core->term()},
-          {codec::job_key(id), job == jobs.end() ? 0 : job->second.stamp}};
+          {codec::job_key(id), job == jobs.end() ? 0 : job->second.revision}};
 }
 
 // Invariant 7: done and cancelled are told only after this commit. It is tried until its outcome
@@ -138,12 +138,12 @@
   if (!f.final_commit) {
     Commit c;
     c.nonce = state_store_.nonce();
-    c.guards = job_guards(part, id);
+    c.preconditions = job_preconditions(part, id);
     const JobPhase phase = o.core->complete(id) ? JobPhase::done : JobPhase::cancelled;
     c.writes = {{codec::final_key(id), codec::encode_final(phase, rt_.wall(), c.nonce), false},
                 {codec::job_key(id), "", false}};
     std::vector<std::string> left_over;
-    for (const auto& [key, stamp] : f.progress_stamps) {
+    for (const auto& [key, revision] : f.progress_revisions) {
       if (static_cast<int>(c.writes.size()) < s_.batch())
         c.writes.push_back({key, "", false});
       else
@@ -225,10 +225,10 @@
   Commit c;
   c.pace = Pace::fleet;
   c.nonce = state_store_.nonce();
-  c.guards = {{codec::part_key(part), o.core->term()}};
+  c.preconditions = {{codec::part_key(part), o.core->term()}};
   for (const auto& id : ids) {
     o.flushes[id].in_flight = true;
-    c.guards.push_back({codec::job_key(id), v.jobs.at(id).stamp});
+    c.preconditions.push_back({codec::job_key(id), v.jobs.at(id).revision});
     c.writes.push_back({codec::final_key(id),
                         codec::encode_final(JobPhase::cancelled, rt_.wall(), c.nonce), false});
     c.writes.push_back({codec::job_key(id), "", false});
@@ -263,7 +263,7 @@
   Commit c;
   c.pace = Pace::progress;
   c.nonce = state_store_.nonce();
-  c.guards = {{codec::part_key(part), o.core->term()}};
+  c.preconditions = {{codec::part_key(part), o.core->term()}};
   for (const auto& key : keys) c.writes.push_back({key, "", false});
   c.done = [this, part, keys, term = o.core->term()](Outcome out, std::uint64_t) {
     sweeping_ = false;
@@ -275,7 +275,7 @@
 }
 
 // The done tasks of one job, in one batch of at most a transaction; the rest goes with the next. A
-// value is guarded by its own stamp, so a late copy of an earlier batch cannot undo a later one.
+// value is guarded by its own revision, so a late copy of an earlier batch cannot undo a later one.
 void Owner::flush_job(int part, Owned& o, const std::string& id) {
   Flush& f = o.flushes[id];
   f.in_flight = true;
@@ -294,34 +294,34 @@
   Commit c;
   c.pace = Pace::progress;
   c.nonce = state_store_.nonce();
-  c.guards = job_guards(part, id);
+  c.preconditions = job_preconditions(part, id);
   std::vector<std::string> keys;
   for (const codec::TaskRange& range : ranges) {
     const std::string key = codec::done_key(part, id, range);
-    const auto stamp = f.progress_stamps.find(key);
+    const auto revision = f.progress_revisions.find(key);
     const auto done = o.core->done_among(id, range.first, range.count);
-    c.guards.push_back({key, stamp == f.progress_stamps.end() ? 0 : stamp->second});
+    c.preconditions.push_back({key, revision == f.progress_revisions.end() ? 0 : revision->second});
     c.writes.push_back({key, codec::encode_done(done, range, c.nonce), false});
     keys.push_back(key);
   }
   const std::uint64_t term = o.core->term();
-  c.done = [this, part, id, term, tasks, keys](Outcome out, std::uint64_t stamp) {
+  c.done = [this, part, id, term, tasks, keys](Outcome out, std::uint64_t revision) {
     Owned* o = owned(part);
     if (!o || o->core->term() != term) return;
     auto f = o->flushes.find(id);
     if (f == o->flushes.end()) return;
     f->second.in_flight = false;
     if (out == Outcome::ok) {
-      for (const auto& key : keys) f->second.progress_stamps[key] = stamp;
+      for (const auto& key : keys) f->second.progress_revisions[key] = revision;
       o->core->mark_recorded(id, tasks);
     } else if (out != Outcome::refused) {
-      // Which batch stands there is not known: read the stamps before the next one.
+      // Which batch stands there is not known: read the revisions before the next one.
       for (const auto& key : keys)
         state_store_.read(key, [this, part, id, term, key](auto row) {
           Owned* o = owned(part);
           if (!row || !o || o->core->term() != term) return;
           auto f = o->flushes.find(id);
-          if (f != o->flushes.end()) f->second.progress_stamps[key] = row->stamp;
+          if (f != o->flushes.end()) f->second.progress_revisions[key] = row->revision;
         });
     }
   };
--- a/src/actors/owner_parts.cc
+++ b/src/actors/owner_parts.cc
@@ -36,7 +36,7 @@
   mesh::PromiseRequest a;
   a.number = ++next_promise_request_;
   a.life = k::kPromiseMs;
-  a.ledger = state_store_.view().ledger;
+  a.store_revision = state_store_.view().store_revision;
   for (const auto& [part, o] : owned_) a.parts.emplace_back(part, o.core->term());
   promise_requests_[a.number] = now;
   while (promise_requests_.size() > k::kPromiseRequestsOpen)
@@ -65,9 +65,9 @@
   if (!v.ready || state_store_.grant() == 0 || a.life > k::kPromiseMs ||
       now - state_store_.last_good() < k::kStateSilentMs)
     return false;
-  for (const auto& [part, stamp] : a.parts) {
+  for (const auto& [part, revision] : a.parts) {
     auto it = v.parts.find(part);
-    if (it == v.parts.end() || it->second.owner != node || it->second.stamp != stamp ||
+    if (it == v.parts.end() || it->second.owner != node || it->second.revision != revision ||
         claiming_.count(part) || in_doubt_.count(part) || owned_.count(part))
       return false;
   }
@@ -79,11 +79,12 @@
 mesh::Promise Owner::give_promise(const std::string& node, const mesh::PromiseRequest& a) {
   // Guard: a node that the state service refused alone, before the outage, has not seen the claim
   // of the part that it lost. It promised nothing then, and all leases of the part ended.
-  for (const auto& [part, stamp] : a.parts) state_store_.replica().take_claim(part, node, stamp);
-  auto closed = state_store_.replica().closed_since(a.ledger);
+  for (const auto& [part, revision] : a.parts)
+    state_store_.replica().take_claim(part, node, revision);
+  auto closed = state_store_.replica().closed_since(a.store_revision);
   if (!closed || !may_promise(node, a)) return {a.number, false, {}};
   const Ms until = rt_.now() + static_cast<Ms>(a.life * (1 + k::kDrift));
-  for (const auto& [part, stamp] : a.parts)
+  for (const auto& [part, revision] : a.parts)
     promised_to_peers_[part] = std::max(promised_to_peers_[part], until);
   return {a.number, true, std::move(*closed)};
 }
@@ -119,13 +120,13 @@
   claiming_.insert(part);
   Commit c;
   c.nonce = state_store_.nonce();
-  c.guards = {{codec::part_key(part), 0}};
+  c.preconditions = {{codec::part_key(part), 0}};
   c.writes = {{codec::part_key(part),
                codec::encode(codec::PartRecord{s_.node, state_store_.grant()}, c.nonce), true}};
   c.pace = Pace::urgent;
   const std::uint64_t grant = state_store_.grant();
-  c.done = [this, part, grant](Outcome o, std::uint64_t stamp) {
-    if (o == Outcome::ok && grant == state_store_.grant()) activate(part, stamp);
+  c.done = [this, part, grant](Outcome o, std::uint64_t revision) {
+    if (o == Outcome::ok && grant == state_store_.grant()) activate(part, revision);
     // In doubt it may still land: the part's key will tell (see part_changed). Guard: it may also
     // never land, so the part is claimed again; a part nobody may claim stays without owner.
     // Guard: that another claim stands there now says nothing of an earlier try without answer.
@@ -136,30 +137,30 @@
   state_store_.commit(std::move(c));
 }
 
-void Owner::activate(int part, std::uint64_t stamp) {
+void Owner::activate(int part, std::uint64_t revision) {
   if (owned_.count(part)) return;
   ++counters_.claims;
-  spdlog::info("part claimed part={} term={} node={}", part, stamp, s_.node);
+  spdlog::info("part claimed part={} term={} node={}", part, revision, s_.node);
   Owned& o = owned_[part];
   o.core = std::make_unique<Part>(
-      part, stamp, rt_.now(),
+      part, revision, rt_.now(),
       PartLimits{static_cast<Ms>(s_.lease_s * 1000), static_cast<Ms>(s_.report_s * 1000),
                  s_.finish_aims, s_.wait_aims, static_cast<Ms>(s_.guarantee_s * 1000)},
       s_.teams_of(part));
   o.core->set_types(types_);
   // The picture is whole once the view has our claim: nothing of the part's changes after it
   // without us, but for new jobs and machines, which the view will tell.
-  state_store_.when_seen(stamp, [this, part, stamp] { load_done(part, stamp); });
+  state_store_.when_seen(revision, [this, part, revision] { load_done(part, revision); });
 }
 
-void Owner::load_done(int part, std::uint64_t stamp) {
+void Owner::load_done(int part, std::uint64_t revision) {
   Owned* o = owned(part);
-  if (!o || o->core->term() != stamp) return;
-  state_store_.list(codec::done_prefix(part), [this, part, stamp](auto rows) {
+  if (!o || o->core->term() != revision) return;
+  state_store_.list(codec::done_prefix(part), [this, part, revision](auto rows) {
     Owned* o = owned(part);
-    if (!o || o->core->term() != stamp) return;
+    if (!o || o->core->term() != revision) return;
     if (!rows) {
-      rt_.after(k::kRetryMs, [this, part, stamp] { load_done(part, stamp); });
+      rt_.after(k::kRetryMs, [this, part, revision] { load_done(part, revision); });
       return;
     }
     const View& v = state_store_.view();
@@ -171,16 +172,16 @@
       if (!v.jobs.count(job)) o->unused_keys.push_back(r.key);
       if (!v.jobs.count(job) || !r.done) continue;
       done[job].insert(done[job].end(), r.done->tasks.begin(), r.done->tasks.end());
-      o->flushes[job].progress_stamps[r.key] = r.stamp;
+      o->flushes[job].progress_revisions[r.key] = r.revision;
     }
     const Ms now = rt_.now();
     for (const auto& [id, m] : v.machines)
-      if (m.record.part == part) o->core->add_machine(id, m.stamp, m.stamp > stamp, now);
+      if (m.record.part == part) o->core->add_machine(id, m.revision, m.revision > revision, now);
     for (const auto& [id, j] : v.jobs)
       if (s_.part_of_team(j.spec.team) == part && !v.dependencies.waits(id))
         open_in(*o, id, done[id]);
     o->active = true;
-    spdlog::info("part active part={} term={} jobs={} machines={}", part, stamp,
+    spdlog::info("part active part={} term={} jobs={} machines={}", part, revision,
                  o->core->job_count(), o->core->machine_names().size());
   });
 }
@@ -207,12 +208,12 @@
     // A claim of ours has landed, perhaps one that was in doubt.
     auto left = giving_up_.find(part);
     if (!o && it->second.owner == s_.node && it->second.grant == state_store_.grant() &&
-        (left == giving_up_.end() || left->second != it->second.stamp))
-      return activate(part, it->second.stamp);
+        (left == giving_up_.end() || left->second != it->second.revision))
+      return activate(part, it->second.revision);
   }
   if (!o) return;
   const bool ours = it != state_store_.view().parts.end() && it->second.owner == s_.node &&
-                    it->second.stamp == o->core->term();
+                    it->second.revision == o->core->term();
   if (!ours) drop(part, "key-changed");
 }
 
@@ -224,11 +225,11 @@
 // The key of a part is deleted under guard, and another node claims it. We stop acting before the
 // commit is sent, since it may land unanswered.
 void Owner::hand_over(int part, const char* reason) {
-  const std::uint64_t stamp = owned_.at(part).core->term();
+  const std::uint64_t revision = owned_.at(part).core->term();
   drop(part, reason);
   ++counters_.handed_back;
-  giving_up_[part] = stamp;
-  give_up(part, stamp);
+  giving_up_[part] = revision;
+  give_up(part, revision);
 }
 
 // A part whose home node is up again, and hears workers, goes back to it.
@@ -296,21 +297,21 @@
 // Guard: until the deletion has surely landed the key says that the part is ours, while nobody acts
 // for it. Refused once and not sent again, it stood there for ever: all machines of the part were
 // sent from node to node and back, and no task of it started any more.
-void Owner::give_up(int part, std::uint64_t stamp) {
+void Owner::give_up(int part, std::uint64_t revision) {
   Commit c;
   c.nonce = state_store_.nonce();
-  c.guards = {{codec::part_key(part), stamp}};
+  c.preconditions = {{codec::part_key(part), revision}};
   c.writes = {{codec::part_key(part), "", false}};
   c.pace = Pace::urgent;
-  c.done = [this, part, stamp](Outcome o, std::uint64_t) {
+  c.done = [this, part, revision](Outcome o, std::uint64_t) {
     const auto& parts = state_store_.view().parts;
     auto it = parts.find(part);
     if (o == Outcome::ok || o == Outcome::conflict || it == parts.end() ||
-        it->second.stamp != stamp) {
+        it->second.revision != revision) {
       giving_up_.erase(part);
       return;
     }
-    rt_.after(k::kRetryMs, [this, part, stamp] { give_up(part, stamp); });
+    rt_.after(k::kRetryMs, [this, part, revision] { give_up(part, revision); });
   };
   state_store_.commit(std::move(c));
 }
--- a/src/actors/replicated_view.cc
+++ b/src/actors/replicated_view.cc
@@ -14,18 +14,19 @@
 
 }  // namespace
 
-void ReplicatedView::begin_load(std::uint64_t ledger) {
-  closed_from_ = ledger;
+void ReplicatedView::begin_load(std::uint64_t store_revision) {
+  closed_from_ = store_revision;
   closed_.clear();
 }
 
-void ReplicatedView::followed(std::uint64_t ledger) {
-  view_.ledger = ledger;
+void ReplicatedView::followed(std::uint64_t store_revision) {
+  view_.store_revision = store_revision;
   if (std::exchange(view_.ready, true)) return;
   find_unresolved();
 }
 
-void ReplicatedView::remove_missing(const std::set<std::string>& loaded, std::uint64_t ledger) {
+void ReplicatedView::remove_missing(const std::set<std::string>& loaded,
+                                    std::uint64_t store_revision) {
   auto gone = [&](const std::string& key) { return !loaded.count(key); };
   std::vector<std::string> missing;
   for (const auto& [id, e] : view_.jobs)
@@ -45,7 +46,7 @@
     codec::StateRow r;
     r.key = key;
     r.deleted = true;
-    r.stamp = ledger;
+    r.revision = store_revision;
     apply(r, true);
   }
 }
@@ -55,7 +56,7 @@
   if (!view_.finals.emplace(id, end).second) return;
   closed_.push_back({id, end.phase, end.revision});
   if (closed_.size() > k::kClosedKept) {
-    closed_from_ = std::max(closed_from_, closed_.front().stamp);
+    closed_from_ = std::max(closed_from_, closed_.front().revision);
     closed_.pop_front();
   }
   final_order_.push_back(id);
@@ -79,36 +80,37 @@
     if (!view_.jobs.count(id)) unresolved_.insert(id);
 }
 
-std::optional<std::vector<ClosedJob>> ReplicatedView::closed_since(std::uint64_t ledger) const {
-  if (!view_.ready || ledger < closed_from_) return std::nullopt;
+std::optional<std::vector<ClosedJob>> ReplicatedView::closed_since(
+    std::uint64_t store_revision) const {
+  if (!view_.ready || store_revision < closed_from_) return std::nullopt;
   std::vector<ClosedJob> out;
   for (const auto& c : closed_)
-    if (c.stamp > ledger) out.push_back(c);
+    if (c.revision > store_revision) out.push_back(c);
   return out;
 }
 
 void ReplicatedView::take_closed(const std::vector<ClosedJob>& closed) {
   for (const auto& c : closed) {
-    remember_final(c.id, {c.phase, c.stamp, rt_.wall()});
+    remember_final(c.id, {c.phase, c.revision, rt_.wall()});
     codec::StateRow record;
     record.key = codec::job_key(c.id);
     record.deleted = true;
-    record.stamp = c.stamp;
+    record.revision = c.revision;
     apply(record, true);
   }
 }
 
-void ReplicatedView::take_claim(int part, const std::string& owner, std::uint64_t stamp) {
+void ReplicatedView::take_claim(int part, const std::string& owner, std::uint64_t revision) {
   // Guard: an older claim may have ended within our view, and the changes will not tell so again.
-  if (stamp <= view_.ledger) return;
+  if (revision <= view_.store_revision) return;
   codec::StateRow claim;
   claim.key = codec::part_key(part);
-  claim.stamp = stamp;
+  claim.revision = revision;
   claim.part = codec::PartRecord{owner, 0};
   apply(claim, true);
 }
 
-// Rows may come twice and, from our own commits, ahead of their turn: an older stamp changes
+// Rows may come twice and, from our own commits, ahead of their turn: an older revision changes
 // nothing, and a final job never opens again.
 void ReplicatedView::apply(const codec::StateRow& row, bool announce) {
   const std::string name = codec::key_name(row.key);
@@ -119,31 +121,31 @@
   } else if (under(row.key, "e/final/")) {
     // Earlier builds did not write the time: it is not later than its telling.
     if (row.final_phase)
-      remember_final(name, {*row.final_phase, row.stamp, row.final_at.value_or(rt_.wall())});
+      remember_final(name, {*row.final_phase, row.revision, row.final_at.value_or(rt_.wall())});
   } else if (under(row.key, "e/machine/")) {
     auto& m = view_.machines;
     auto it = m.find(name);
-    if (it != m.end() && it->second.stamp >= row.stamp) return;
+    if (it != m.end() && it->second.revision >= row.revision) return;
     if (row.deleted)
       m.erase(name);
     else if (row.machine)
-      m[name] = {*row.machine, row.stamp};
+      m[name] = {*row.machine, row.revision};
     if (announce) events_.machine_changed(name);
   } else if (under(row.key, "e/node/")) {
     auto it = view_.nodes.find(name);
-    if (it != view_.nodes.end() && it->second.stamp >= row.stamp) return;
+    if (it != view_.nodes.end() && it->second.revision >= row.revision) return;
     if (row.deleted)
       view_.nodes.erase(name);
     else if (row.node)
-      view_.nodes[name] = {*row.node, row.stamp, rt_.now()};
+      view_.nodes[name] = {*row.node, row.revision, rt_.now()};
   } else if (under(row.key, "e/part/")) {
     const int part = std::atoi(name.c_str());
     auto it = view_.parts.find(part);
-    if (it != view_.parts.end() && it->second.stamp >= row.stamp) return;
+    if (it != view_.parts.end() && it->second.revision >= row.revision) return;
     if (row.deleted)
       view_.parts.erase(part);
     else if (row.part)
-      view_.parts[part] = {row.part->owner, row.stamp, row.part->grant};
+      view_.parts[part] = {row.part->owner, row.revision, row.part->grant};
     if (announce) events_.part_changed(part);
   }
 }
@@ -155,7 +157,7 @@
     return;
   }
   incomplete_.erase(id);
-  if (it == view_.jobs.end() || it->second.stamp > row.stamp) return;
+  if (it == view_.jobs.end() || it->second.revision > row.revision) return;
   view_.jobs.erase(it);
   view_.dependencies.close(id);
   // Guard: after changes were missed its record may be gone without a word of its end.
@@ -174,13 +176,13 @@
   incomplete_.erase(id);
   unresolved_.erase(id);
   View::JobEntry& entry = view_.jobs[id];
-  entry = {std::move(*whole.job), whole.stamp, whole.nonce};
-  if (!entry.spec.prerequisites.empty()) open_dependent(entry.spec, whole.stamp);
+  entry = {std::move(*whole.job), whole.revision, whole.nonce};
+  if (!entry.spec.prerequisites.empty()) open_dependent(entry.spec, whole.revision);
   if (announce) events_.job_opened(id);
   publish(view_.dependencies.take_effects());
 }
 
-void ReplicatedView::open_dependent(JobSpec& spec, std::uint64_t stamp) {
+void ReplicatedView::open_dependent(JobSpec& spec, std::uint64_t revision) {
   std::vector<std::string> pending;
   std::vector<DependencyGraph::End> ended;
   for (std::string& id : std::exchange(spec.prerequisites, {})) {
@@ -192,7 +194,7 @@
     if (view_.ready && !view_.jobs.count(id)) unresolved_.insert(id);
     pending.push_back(std::move(id));
   }
-  view_.dependencies.open(spec, stamp, pending, ended);
+  view_.dependencies.open(spec, revision, pending, ended);
 }
 
 // ------------------------------------------------------------- prerequisites in several values
@@ -251,12 +253,13 @@
 
 // -------------------------------------------------------------------------------- own commits
 
-void ReplicatedView::apply_commit(const std::vector<codec::Write>& writes, std::uint64_t ledger) {
+void ReplicatedView::apply_commit(const std::vector<codec::Write>& writes,
+                                  std::uint64_t store_revision) {
   // Puts first: the final record of a job must be known when its record goes.
   for (bool deletes : {false, true}) {
     for (const auto& w : writes) {
       if (w.value.empty() != deletes || !under(w.key, "e/")) continue;
-      std::string text = codec::stored_row(w.key, w.value, ledger);
+      std::string text = codec::stored_row(w.key, w.value, store_revision);
       if (auto row = codec::parse_row(text)) apply(*row, true);
     }
   }
--- a/src/actors/replicated_view.h
+++ b/src/actors/replicated_view.h
@@ -22,24 +22,24 @@
 struct View {
   struct PartEntry {
     std::string owner;
-    std::uint64_t stamp = 0, grant = 0;
+    std::uint64_t revision = 0, grant = 0;
   };
   struct MachineEntry {
     codec::MachineRecord record;
-    std::uint64_t stamp = 0;
+    std::uint64_t revision = 0;
   };
   struct NodeEntry {
     codec::NodeRecord record;
-    std::uint64_t stamp = 0;
+    std::uint64_t revision = 0;
     Ms seen = 0;
   };
   struct JobEntry {
     JobSpec spec;  // its prerequisites are kept by the dependency graph alone
-    std::uint64_t stamp = 0;
+    std::uint64_t revision = 0;
     std::string nonce;  // of its record
   };
   bool ready = false;
-  std::uint64_t ledger = 0;  // all changes up to here are in
+  std::uint64_t store_revision = 0;  // all changes up to here are in
   std::map<int, PartEntry> parts;
   std::map<std::string, MachineEntry> machines;
   std::map<std::string, NodeEntry> nodes;
@@ -63,13 +63,13 @@
   const View& view() const { return view_; }
 
   // Keys are listed anew: which jobs ended since the changes that were missed is not known.
-  void begin_load(std::uint64_t ledger);
+  void begin_load(std::uint64_t store_revision);
   // What an earlier view had and the list has not is gone.
-  void remove_missing(const std::set<std::string>& loaded, std::uint64_t ledger);
+  void remove_missing(const std::set<std::string>& loaded, std::uint64_t store_revision);
   // All changes up to here are in.
-  void followed(std::uint64_t ledger);
+  void followed(std::uint64_t store_revision);
   void apply(const codec::StateRow& row, bool announce);
-  void apply_commit(const std::vector<codec::Write>& writes, std::uint64_t ledger);
+  void apply_commit(const std::vector<codec::Write>& writes, std::uint64_t store_revision);
   void remember_final(const std::string& id, const DependencyGraph::End& end);
   // Prerequisites of open jobs of which neither a record nor an end is known here. Their ends are
   // to be read; see `StateStoreClient::read_ends`.
@@ -80,12 +80,13 @@
   }
   // Keys of spread prerequisites that belong to no open job.
   std::vector<std::string> orphaned_parts(std::size_t most) const;
-  // All jobs that this node knows to have ended after `ledger`; nullopt when it cannot tell.
-  std::optional<std::vector<ClosedJob>> closed_since(std::uint64_t ledger) const;
+  // All jobs that this node knows to have ended after `store_revision`; nullopt when it cannot
+  // tell.
+  std::optional<std::vector<ClosedJob>> closed_since(std::uint64_t store_revision) const;
   // What a peer knows to be over is over in our view too.
   void take_closed(const std::vector<ClosedJob>& closed);
   // A peer has claimed a part after all changes that our view has.
-  void take_claim(int part, const std::string& owner, std::uint64_t stamp);
+  void take_claim(int part, const std::string& owner, std::uint64_t revision);
   // An earlier process of this node has ended its grant.
   void forget_node(const std::string& node) { view_.nodes.erase(node); }
 
@@ -99,7 +100,7 @@
   void apply_job(const std::string& id, const codec::StateRow& row, bool announce);
   void apply_part(const codec::StateRow& row);
   void open_job(const std::string& id, const codec::StateRow& row, bool announce);
-  void open_dependent(JobSpec& spec, std::uint64_t stamp);
+  void open_dependent(JobSpec& spec, std::uint64_t revision);
   bool take_parts(const std::string& id, codec::StateRow& row);
   bool is_orphaned(const SpreadKey& key, const SpreadPart& part) const;
   void find_unresolved();
--- a/src/actors/state_store_client.cc
+++ b/src/actors/state_store_client.cc
@@ -208,9 +208,9 @@
            rt_.after(k::kRetryMs, [=, this] { load(prefix, since); });
            return;
          }
-         // Changes since the first page are followed from its ledger, so none is missed.
+         // Changes since the first page are followed from its revision, so none is missed.
          if (follow_since_ == 0) {
-           follow_since_ = page->ledger;
+           follow_since_ = page->store_revision;
            replica_.begin_load(follow_since_);
          }
          for (const auto& row : page->rows) {
@@ -238,12 +238,12 @@
               return;
             }
             for (const auto& row : events->rows) replica_.apply(row, view().ready);
-            follow_since_ = std::max(follow_since_, events->ledger);
+            follow_since_ = std::max(follow_since_, events->store_revision);
             const bool first = !view().ready;
             replica_.followed(follow_since_);
             if (first) {
-              spdlog::info("view ready node={} ledger={} jobs={} machines={}", s_.node,
-                           view().ledger, view().jobs.size(), view().machines.size());
+              spdlog::info("view ready node={} revision={} jobs={} machines={}", s_.node,
+                           view().store_revision, view().jobs.size(), view().machines.size());
             }
             announce_seen();
             rt_.after(follow_pause(), [this] { follow(k::kFollowWaitMs); });
@@ -257,18 +257,18 @@
 }
 
 void StateStoreClient::announce_seen() {
-  while (!waiting_.empty() && waiting_.begin()->first <= view().ledger) {
+  while (!waiting_.empty() && waiting_.begin()->first <= view().store_revision) {
     auto f = std::move(waiting_.begin()->second);
     waiting_.erase(waiting_.begin());
     f();
   }
 }
 
-void StateStoreClient::when_seen(std::uint64_t ledger, std::function<void()> done) {
-  if (view().ledger >= ledger)
+void StateStoreClient::when_seen(std::uint64_t store_revision, std::function<void()> done) {
+  if (view().store_revision >= store_revision)
     done();
   else
-    waiting_.emplace(ledger, std::move(done));
+    waiting_.emplace(store_revision, std::move(done));
 }
 
 // ------------------------------------------------------------------------------ commits
@@ -278,18 +278,18 @@
 }
 
 void StateStoreClient::try_commit(std::shared_ptr<Commit> c, int tries) {
-  submit({{"", "POST", "/commit", codec::commit_body(c->guards, c->writes, grant_),
+  submit({{"", "POST", "/commit", codec::commit_body(c->preconditions, c->writes, grant_),
            k::kStateTimeoutMs},
           static_cast<int>(c->writes.size()),
           c->pace,
           0,
           [this, c, tries](HttpReply r) {
             if (r.status == 200) {
-              auto ledger = codec::parse_number(r.body, "ledger").value_or(0);
-              replica_.apply_commit(c->writes, ledger);
-              c->done(Outcome::ok, ledger);
+              auto store_revision = codec::parse_number(r.body, "ledger").value_or(0);
+              replica_.apply_commit(c->writes, store_revision);
+              c->done(Outcome::ok, store_revision);
             } else if (r.status == 409) {
-              // Invariant 8: an earlier try of ours may be what the guards met.
+              // Invariant 8: an earlier try of ours may be what the preconditions met.
               if (c->doubt)
                 read_back(c, codec::parse_number(r.body, "ledger").value_or(0), k::kCommitTries);
               else
@@ -307,30 +307,34 @@
           }});
 }
 
-// The guards failed after a try without answer: whose write is it that stands there? Stamps only
-// grow, so a try guarded by stamps can land no more; one guarded by the absence of a key can.
-void StateStoreClient::read_back(std::shared_ptr<Commit> c, std::uint64_t ledger, int tries) {
-  read(c->writes.front().key, [this, c, ledger, tries](std::optional<codec::StateRow> row) {
+// The preconditions failed after a try without answer: whose write is it that stands there? Stamps
+// only grow, so a try guarded by revisions can land no more; one guarded by the absence of a key
+// can.
+void StateStoreClient::read_back(std::shared_ptr<Commit> c, std::uint64_t store_revision,
+                                 int tries) {
+  read(c->writes.front().key, [this, c, store_revision, tries](std::optional<codec::StateRow> row) {
     if (row) {
-      if (row->stamp != 0 && row->nonce == c->nonce) {
-        replica_.apply_commit(c->writes, row->stamp);
-        c->done(Outcome::ok, row->stamp);
+      if (row->revision != 0 && row->nonce == c->nonce) {
+        replica_.apply_commit(c->writes, row->revision);
+        c->done(Outcome::ok, row->revision);
         return;
       }
-      const bool by_absence = std::any_of(c->guards.begin(), c->guards.end(),
-                                          [](const codec::Guard& g) { return g.stamp == 0; });
+      const bool by_absence =
+          std::any_of(c->preconditions.begin(), c->preconditions.end(),
+                      [](const codec::Precondition& g) { return g.revision == 0; });
       // Guard: our write may have stood there for a while; the view knows then, before the caller.
       if (by_absence)
         c->done(Outcome::superseded, 0);
       else
-        when_seen(ledger, [c] { c->done(Outcome::conflict, 0); });
+        when_seen(store_revision, [c] { c->done(Outcome::conflict, 0); });
       return;
     }
     if (tries <= 1) {
       c->done(Outcome::unknown, 0);
       return;
     }
-    rt_.after(k::kRetryMs, [this, c, ledger, tries] { read_back(c, ledger, tries - 1); });
+    rt_.after(k::kRetryMs,
+              [this, c, store_revision, tries] { read_back(c, store_revision, tries - 1); });
   });
 }
 
--- a/src/actors/state_store_client.h
+++ b/src/actors/state_store_client.h
@@ -26,11 +26,11 @@
 };
 
 struct Commit {
-  std::vector<codec::Guard> guards;
+  std::vector<codec::Precondition> preconditions;
   std::vector<codec::Write> writes;  // the first one puts a value with the nonce of this commit
   std::string nonce;
   Pace pace = Pace::user;
-  std::function<void(Outcome, std::uint64_t ledger)> done;
+  std::function<void(Outcome, std::uint64_t store_revision)> done;
   // A try of it is without answer. Guard: a later try that is refused says nothing of that one, so
   // whoever tries again after `unknown` sends this same commit with its doubt kept.
   bool doubt = false;
@@ -58,7 +58,7 @@
   std::string nonce();
 
   void commit(Commit c);
-  // Linearizable read. `row.stamp` 0: the key does not exist. Fails with nullopt.
+  // Linearizable read. `row.revision` 0: the key does not exist. Fails with nullopt.
   void read(const std::string& key, std::function<void(std::optional<codec::StateRow>)> done);
   void list(const std::string& prefix,
             std::function<void(std::optional<std::vector<codec::StateRow>>)> done);
@@ -71,8 +71,8 @@
   // Calls back once the view has all changes that were made before this call; false when the state
   // service does not tell.
   void catch_up(std::function<void(bool)> done);
-  // Calls back once the view has all changes up to `ledger`.
-  void when_seen(std::uint64_t ledger, std::function<void()> done);
+  // Calls back once the view has all changes up to `store_revision`.
+  void when_seen(std::uint64_t store_revision, std::function<void()> done);
   // What this node takes of the budgets, for its peers; and what a peer has said that it takes.
   BudgetUse use() const { return rate_limiter_.use(); }
   void peer_use(const std::string& node, const BudgetUse& use);
@@ -89,9 +89,9 @@
   };
   struct Comparison {  // the answer to a transaction without writes
     std::vector<std::string> failed;
-    std::uint64_t ledger = 0;
+    std::uint64_t store_revision = 0;
   };
-  void compare(std::vector<codec::Guard> guards, Pace pace,
+  void compare(std::vector<codec::Precondition> preconditions, Pace pace,
                std::function<void(std::optional<Comparison>)> done);
   void resolve();
   void read_next_ends(std::shared_ptr<std::vector<std::string>> ids,
@@ -109,7 +109,7 @@
   void load(std::size_t prefix, std::string since);
   void follow(Ms wait);
   void try_commit(std::shared_ptr<Commit> c, int tries);
-  void read_back(std::shared_ptr<Commit> c, std::uint64_t ledger, int tries);
+  void read_back(std::shared_ptr<Commit> c, std::uint64_t store_revision, int tries);
   void list_from(const std::string& prefix, const std::string& since,
                  std::shared_ptr<std::vector<codec::StateRow>> rows,
                  std::function<void(std::optional<std::vector<codec::StateRow>>)> done);
--- a/src/actors/state_store_reads.cc
+++ b/src/actors/state_store_reads.cc
@@ -117,9 +117,9 @@
     std::shared_ptr<std::set<std::string>> found,
     std::function<void(std::optional<std::set<std::string>>)> done) {
   if (from >= ids->size()) return done(std::move(*found));
-  const auto group = static_cast<std::size_t>(s_.state_txn_ops * k::kGuardsPerChange / 2);
+  const auto group = static_cast<std::size_t>(s_.state_txn_ops * k::kPreconditionsPerChange / 2);
   const std::size_t end = std::min(ids->size(), from + group);
-  std::vector<codec::Guard> absent;
+  std::vector<codec::Precondition> absent;
   for (std::size_t i = from; i < end; ++i) {
     absent.push_back({codec::job_key((*ids)[i]), 0});
     absent.push_back({codec::final_key((*ids)[i]), 0});
@@ -133,18 +133,18 @@
   });
 }
 
-void StateStoreClient::compare(std::vector<codec::Guard> guards, Pace pace,
+void StateStoreClient::compare(std::vector<codec::Precondition> preconditions, Pace pace,
                                std::function<void(std::optional<Comparison>)> done) {
   submit(
-      {{"", "POST", "/commit", codec::commit_body(guards, {}, grant_), k::kStateTimeoutMs},
+      {{"", "POST", "/commit", codec::commit_body(preconditions, {}, grant_), k::kStateTimeoutMs},
        0,
        pace,
        0,
        [done = std::move(done)](HttpReply r) {
-         const auto ledger = codec::parse_number(r.body, "ledger");
-         if ((r.status != 200 && r.status != 409) || !ledger) return done(std::nullopt);
+         const auto store_revision = codec::parse_number(r.body, "ledger");
+         if ((r.status != 200 && r.status != 409) || !store_revision) return done(std::nullopt);
          done(Comparison{r.status == 409 ? codec::parse_failed(r.body) : std::vector<std::string>{},
-                         *ledger});
+                         *store_revision});
        }});
 }
 
@@ -156,7 +156,7 @@
   };
   compare({{codec::node_key(s_.node), 0}}, Pace::user, [this, once](std::optional<Comparison> c) {
     if (!c) return once(false);
-    when_seen(c->ledger, [once] { once(true); });
+    when_seen(c->store_revision, [once] { once(true); });
     rt_.after(k::kStateTimeoutMs, [once] { once(false); });
   });
 }
--- a/src/codec/json.h
+++ b/src/codec/json.h
@@ -92,7 +92,7 @@
 struct StateRow {
   std::string key;
   bool deleted = false;
-  std::uint64_t stamp = 0;
+  std::uint64_t revision = 0;
   std::string nonce;
   // what the value holds, by its key
   std::optional<PartRecord> part;
@@ -111,16 +111,16 @@
 };
 struct StateList {
   std::vector<StateRow> rows;
-  std::uint64_t ledger = 0;
+  std::uint64_t store_revision = 0;
   bool more = false;
 };
 std::optional<StateList> parse_list(const std::string& body);
 std::optional<StateList> parse_events(const std::string& body);
 std::optional<StateRow> parse_row(const std::string& body);
 // A key's row as the state service would show it, for a commit of our own.
-std::string stored_row(const std::string& key, const std::string& value, std::uint64_t stamp);
+std::string stored_row(const std::string& key, const std::string& value, std::uint64_t revision);
 std::optional<std::uint64_t> parse_number(const std::string& body, const char* field);
-// The keys whose guards have failed, of an answer to a commit.
+// The keys whose preconditions have failed, of an answer to a commit.
 std::vector<std::string> parse_failed(const std::string& body);
 
 struct Write {
@@ -128,12 +128,12 @@
   std::string value;  // JSON; empty: delete
   bool tethered = false;
 };
-struct Guard {
+struct Precondition {
   std::string key;
-  std::uint64_t stamp = 0;
+  std::uint64_t revision = 0;
 };
-std::string commit_body(const std::vector<Guard>& guards, const std::vector<Write>& writes,
-                        std::uint64_t grant);
+std::string commit_body(const std::vector<Precondition>& preconditions,
+                        const std::vector<Write>& writes, std::uint64_t grant);
 std::string grant_body(Ms life);
 
 // Keys. All under `e/` is followed by every node; `d/` (done tasks) is read at take-over only.
--- a/src/codec/mesh.cc
+++ b/src/codec/mesh.cc
@@ -90,7 +90,7 @@
     auto b = e.initPromiseRequest();
     b.setNumber(m.number);
     b.setLifeMs(m.life);
-    b.setLedger(m.ledger);
+    b.setLedger(m.store_revision);
     auto list = b.initParts(static_cast<unsigned>(m.parts.size()));
     for (unsigned i = 0; i < m.parts.size(); ++i) {
       list[i].setPart(static_cast<std::uint16_t>(m.parts[i].first));
@@ -104,7 +104,7 @@
     auto closed = b.initClosed(static_cast<unsigned>(m.closed.size()));
     for (unsigned i = 0; i < m.closed.size(); ++i) {
       closed[i].setJob(m.closed[i].id);
-      closed[i].setStamp(m.closed[i].stamp);
+      closed[i].setStamp(m.closed[i].revision);
       closed[i].setCancelled(m.closed[i].phase == JobPhase::cancelled);
     }
   }
--- a/src/codec/mesh.h
+++ b/src/codec/mesh.h
@@ -41,13 +41,13 @@
 struct PromiseRequest {
   std::uint64_t number = 0;
   Ms life = 0;
-  std::vector<std::pair<int, std::uint64_t>> parts;  // the sender's, with their stamps
-  std::uint64_t ledger = 0;                          // of the sender's view
+  std::vector<std::pair<int, std::uint64_t>> parts;  // the sender's, with their revisions
+  std::uint64_t store_revision = 0;                  // of the sender's view
 };
 struct Promise {
   std::uint64_t number = 0;
   bool given = false;
-  std::vector<ClosedJob> closed;  // all that ended after the asker's ledger
+  std::vector<ClosedJob> closed;  // all that ended after the asker's store revision
 };
 
 using Body = std::variant<Ask, Answer, Status, Move, PromiseRequest, Promise, Gone, Shed>;
--- a/src/codec/state_json.cc
+++ b/src/codec/state_json.cc
@@ -108,10 +108,10 @@
   if (!v.IsObject()) return false;
   if (get(v, "delete", r.key)) {
     r.deleted = true;
-    return get(v, "stamp", r.stamp);
+    return get(v, "stamp", r.revision);
   }
   if (!get(v, "key", r.key) && !get(v, "write", r.key)) return false;
-  if (!get(v, "stamp", r.stamp)) return false;
+  if (!get(v, "stamp", r.revision)) return false;
   if (const Value* value = field(v, "v")) read_value(*value, r);
   return true;
 }
@@ -121,7 +121,7 @@
   if (!parse(d, body)) return std::nullopt;
   const Value* rows = field(d, name);
   StateList out;
-  if (!rows || !rows->IsArray() || !get(d, "ledger", out.ledger)) return std::nullopt;
+  if (!rows || !rows->IsArray() || !get(d, "ledger", out.store_revision)) return std::nullopt;
   get(d, "more", out.more);
   for (const auto& e : rows->GetArray()) {
     StateRow r;
@@ -221,10 +221,10 @@
   return r;
 }
 
-std::string stored_row(const std::string& key, const std::string& value, std::uint64_t stamp) {
+std::string stored_row(const std::string& key, const std::string& value, std::uint64_t revision) {
   return object([&](Writer& w) {
     put(w, value.empty() ? "delete" : "write", key);
-    put(w, "stamp", stamp);
+    put(w, "stamp", revision);
     if (value.empty()) return;
     w.Key("v");
     w.RawValue(value.data(), value.size(), rapidjson::kObjectType);
@@ -249,15 +249,15 @@
   return out;
 }
 
-std::string commit_body(const std::vector<Guard>& guards, const std::vector<Write>& writes,
-                        std::uint64_t grant) {
+std::string commit_body(const std::vector<Precondition>& preconditions,
+                        const std::vector<Write>& writes, std::uint64_t grant) {
   return object([&](Writer& w) {
     w.Key("guards");
     w.StartArray();
-    for (const auto& g : guards) {
+    for (const auto& g : preconditions) {
       w.StartObject();
       put(w, "key", g.key);
-      put(w, "stamp", g.stamp);
+      put(w, "stamp", g.revision);
       w.EndObject();
     }
     w.EndArray();
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -19,15 +19,15 @@
 
 // ---------------------------------------------------------------------------- machines
 
-void Part::add_machine(const std::string& id, std::uint64_t stamp, bool fresh, Ms now) {
+void Part::add_machine(const std::string& id, std::uint64_t revision, bool fresh, Ms now) {
   auto& m = machines_[id];
   if (m) {
-    m->stamp = std::max(m->stamp, stamp);
+    m->revision = std::max(m->revision, revision);
     return;
   }
   m = std::make_unique<Machine>();
   m->id = id;
-  m->stamp = stamp;
+  m->revision = revision;
   m->proven = fresh;
   proof_known_ = false;
   // Invariant 5: the last answer another owner could have given is not later than our claim.
@@ -44,10 +44,10 @@
   proof_known_ = false;
 }
 
-// Invariant 2: the term of a machine is the newest stamp of its part's or its own key.
+// Invariant 2: the term of a machine is the newest revision of its part's or its own key.
 std::uint64_t Part::term_of(const std::string& id) const {
   auto it = machines_.find(id);
-  return it == machines_.end() ? term_ : std::max(term_, it->second->stamp);
+  return it == machines_.end() ? term_ : std::max(term_, it->second->revision);
 }
 
 void Part::set_types(const std::vector<MachineType>& types) {
@@ -140,12 +140,12 @@
 
 // -------------------------------------------------------------------------------- jobs
 
-void Part::open_job(const JobSpec& spec, std::uint64_t stamp, bool older,
+void Part::open_job(const JobSpec& spec, std::uint64_t revision, bool older,
                     const std::vector<std::uint32_t>& done, Ms age, Ms waited) {
   if (jobs_.count(spec.id)) return;
   auto j = std::make_unique<Job>();
   j->spec = spec;
-  j->stamp = stamp;
+  j->revision = revision;
   j->older = older;
   j->team = team_index(spec.team);
   if (j->team < 0) return;
@@ -209,9 +209,9 @@
   return JobStatus{j.running > 0 ? JobPhase::running : JobPhase::queued, j.done, j.running};
 }
 
-std::uint64_t Part::job_stamp(const std::string& id) const {
+std::uint64_t Part::job_revision(const std::string& id) const {
   auto it = jobs_.find(id);
-  return it == jobs_.end() ? 0 : it->second->stamp;
+  return it == jobs_.end() ? 0 : it->second->revision;
 }
 
 std::uint32_t Part::task_count(const std::string& id) const {
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -65,7 +65,7 @@
 
   // --- machines ---
   // `fresh`: assigned after our claim, so nobody else can have tasks on it.
-  void add_machine(const std::string& id, std::uint64_t stamp, bool fresh, Ms now);
+  void add_machine(const std::string& id, std::uint64_t revision, bool fresh, Ms now);
   void remove_machine(const std::string& id);  // with proof that all on it is gone
   bool has_machine(const std::string& id) const { return machines_.count(id) > 0; }
   std::uint64_t term_of(const std::string& id) const;
@@ -87,13 +87,13 @@
   // `age`: how long ago it was free to start. `waited`: how long before that it was accepted; its
   // deadline counts from then. `done`: indexes recorded as done. `older`: it was free to start
   // before our claim, so its tasks may run on any machine we have not heard of yet.
-  void open_job(const JobSpec& spec, std::uint64_t stamp, bool older,
+  void open_job(const JobSpec& spec, std::uint64_t revision, bool older,
                 const std::vector<std::uint32_t>& done, Ms age = 0, Ms waited = 0);
   // What the jobs that wait for this one ask of it: at least this priority, and to be over by then.
   void set_urgency(const std::string& id, Priority priority, std::optional<Ms> finish_by);
   bool has_job(const std::string& id) const { return jobs_.count(id) > 0; }
   std::optional<JobStatus> status(const std::string& id) const;
-  std::uint64_t job_stamp(const std::string& id) const;
+  std::uint64_t job_revision(const std::string& id) const;
   void hold_job(const std::string& id);  // a final commit is on its way: start nothing
   bool held(const std::string& id) const;
   void cancel_job(const std::string& id);  // its user has called it off: its tasks are killed
@@ -168,7 +168,7 @@
   using TaskKey = std::pair<std::string, std::uint32_t>;
   struct Machine {
     std::string id, addr, zone, type_name;
-    std::uint64_t stamp = 0;
+    std::uint64_t revision = 0;
     bool spot = false;
     const MachineType* type = nullptr;
     bool proven = false;  // has reported under our term (or is fresh)
@@ -197,7 +197,7 @@
   };
   struct Job {
     JobSpec spec;
-    std::uint64_t stamp = 0;
+    std::uint64_t revision = 0;
     bool older = false, held = false, cancelling = false;
     int team = -1, image = -1;  // index and number, see `image_number`
     std::vector<State> state;
--- a/src/core/queue.cc
+++ b/src/core/queue.cc
@@ -12,7 +12,7 @@
   // Guard: idle-time work starved behind a queue of higher priority that never ended.
   const Priority priority = j.starved ? std::max(j.priority, Priority::standard) : j.priority;
   return std::tuple(-static_cast<int>(priority), !j.starved, j.stage, j.latest_start + later,
-                    j.stamp);
+                    j.revision);
 }
 
 }  // namespace
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -80,11 +80,11 @@
   std::uint32_t done = 0, running = 0;
 };
 
-// A job that is over, and the stamp of its final record.
+// A job that is over, and the revision of its final record.
 struct ClosedJob {
   std::string id;
   JobPhase phase = JobPhase::done;
-  std::uint64_t stamp = 0;
+  std::uint64_t revision = 0;
 };
 
 // What a node takes of the state service: requests and changes a second.
--- a/tests/part_test.cc
+++ b/tests/part_test.cc
@@ -339,7 +339,7 @@
   EXPECT_EQ(recorded, constants::kTasksMax);
 }
 
-// Invariant 2: the term is the newest stamp of the part's or the machine's own key.
+// Invariant 2: the term is the newest revision of the part's or the machine's own key.
 TEST_F(PartTest, TermIsTheNewestStamp) {
   part.add_machine("m-1", 5, false, 0);
   part.add_machine("m-2", 15, true, 0);
--- a/tests/standin/state_service.cc
+++ b/tests/standin/state_service.cc
@@ -208,9 +208,9 @@
   for (const Change& c : changes_) {
     if (c.revision <= since || !has_prefix(c.key, prefix)) continue;
     if (!events.empty()) events += ",";
-    const std::string stamp = ",\"stamp\":" + std::to_string(c.revision) + "}";
-    events += c.deleted ? "{\"delete\":\"" + c.key + "\"" + stamp
-                        : "{\"write\":\"" + c.key + "\",\"v\":" + c.value + stamp;
+    const std::string revision = ",\"stamp\":" + std::to_string(c.revision) + "}";
+    events += c.deleted ? "{\"delete\":\"" + c.key + "\"" + revision
+                        : "{\"write\":\"" + c.key + "\",\"v\":" + c.value + revision;
   }
   if (events.empty()) return {};
   return {200, "{" + revision_text(revision_) + ",\"events\":[" + events + "]}"};
