--- /dev/null
+++ b/tests/standin/world_users.cc
@@ -0,0 +1,159 @@
+// Users: they submit, ask, repeat and call off.
+#include <rapidjson/document.h>
+
+#include "standin/text.h"
+#include "standin/world.h"
+
+namespace eiderreel::standin {
+
+using rapidjson::Document;
+
+JobSpec World::job(const std::string& id, const std::string& team, std::uint32_t tasks, double cpus,
+                   double run_s) {
+  JobSpec s;
+  s.id = id;
+  s.jobclass = "test";
+  s.team = team;
+  s.tasks = tasks;
+  s.cpus = cpus;
+  s.memory_gb = 1;
+  s.image = "img";
+  s.image_gb = 0.5;
+  s.spot = true;
+  s.estimate_s = run_s;
+  s.deadline_s = run_s + 60;
+  run_s_[id] = run_s;
+  return s;
+}
+
+JobSpec World::service(const std::string& id, const std::string& team, std::uint32_t tasks,
+                       double cpus) {
+  JobSpec s = job(id, team, tasks, cpus);
+  s.kind = Kind::service;
+  s.priority = Priority::production;
+  s.spot = false;
+  return s;
+}
+
+int World::pick_node() {
+  next_node_ = (next_node_ + 1) % o_.nodes;
+  return next_node_;
+}
+
+void World::raw(int node, const std::string& method, const std::string& path,
+                const std::string& body, std::function<void(int, std::string)> done) {
+  call("user", {"n" + std::to_string(node), method, path, body, 5000},
+       [done = std::move(done)](HttpReply r) { done(r.status, r.body); });
+}
+
+void World::submit(const JobSpec& spec) {
+  specs_[spec.id] = spec;
+  checker_.submitted(spec);
+  try_submit(spec, now() + 60);
+}
+
+void World::submit_chained(const JobSpec& spec) {
+  const bool accepted = std::all_of(spec.prerequisites.begin(), spec.prerequisites.end(),
+                                    [&](const std::string& id) { return !phase(id).empty(); });
+  if (accepted) return submit(spec);
+  at(now() + 0.05, [this, spec] { submit_chained(spec); });
+}
+
+void World::repeat(int node, const JobSpec& spec) {
+  raw(node, "POST", "/v1/jobs", submission_text(spec),
+      [this, id = spec.id](int status, const std::string& body) {
+        checker_.submit_answer(now(), id, status);
+        if (status != 200 && status != 201) return;
+        Document d;
+        d.Parse(body.c_str());
+        checker_.told(now(), id, d["phase"].GetString());
+      });
+}
+
+void World::submit_odd(int node, const std::string& body) {
+  raw(node, "POST", "/v1/jobs", body, [this, body](int status, const std::string&) {
+    ++odd_[status];
+    checker_.odd_answer(now(), body, status);
+  });
+}
+
+void World::try_submit(const JobSpec& spec, double until) {
+  raw(pick_node(), "POST", "/v1/jobs", submission_text(spec),
+      [this, spec, until, began = now()](int status, const std::string&) {
+        checker_.submit_answer(now(), spec.id, status);
+        if (status == 200 || status == 201) {
+          note("user " + spec.id + " accepted");
+          slowest_acceptance_ = std::max(slowest_acceptance_, now() - began);
+          told_[spec.id] = "queued";
+          return poll_loop(spec.id);
+        }
+        if (status == 400 || status == 422) return note("user " + spec.id + " refused");
+        if (now() < until) at(now() + 1, [this, spec, until] { try_submit(spec, until); });
+      });
+}
+
+void World::poll_once(int node, const std::string& id, std::function<void(int, std::string)> done) {
+  raw(node, "GET", "/v1/jobs/" + id, "", [this, id, done](int status, const std::string& body) {
+    std::string phase;
+    if (status == 200) {
+      Document d;
+      d.Parse(body.c_str());
+      phase = d["phase"].GetString();
+    }
+    checker_.asked(now(), id, status == 200 || status == 404);
+    if (status == 200 || status == 404) checker_.told(now(), id, phase);
+    if (status == 200 && told_[id] != phase) {
+      note("user " + id + " " + phase);
+      told_[id] = phase;
+    }
+    done(status, phase);
+  });
+}
+
+void World::poll_loop(const std::string& id) {
+  at(now() + 2, [this, id] {
+    poll_once(pick_node(), id, [this, id](int, const std::string& phase) {
+      if (phase != "done" && phase != "cancelled") poll_loop(id);
+    });
+  });
+}
+
+void World::cancel(const std::string& id) {
+  checker_.cancel_asked(id);
+  try_cancel(id, 60);
+}
+
+World::Confirmed World::confirmed(const std::string& id) const {
+  auto it = confirmed_.find(id);
+  return it == confirmed_.end() ? Confirmed{} : it->second;
+}
+
+void World::cancel_at(int node, const std::string& id) {
+  checker_.cancel_asked(id);
+  try_cancel_at(node, id, 60);
+}
+
+void World::try_cancel(const std::string& id, int n) { try_cancel_at(pick_node(), id, n); }
+
+void World::try_cancel_at(int node, const std::string& id, int n) {
+  raw(node, "POST", "/v1/jobs/" + id + "/cancel", "",
+      [this, id, n, node](int status, const std::string& body) {
+        if (status == 200) {
+          Document d;
+          d.Parse(body.c_str());
+          checker_.told(now(), id, d["phase"].GetString());
+          note("user " + id + " cancel says " + d["phase"].GetString());
+          confirmed_.try_emplace(id, Confirmed{node, now()});
+          told_[id] = d["phase"].GetString();
+        } else if (n > 0) {
+          at(now() + 1, [this, id, n] { try_cancel(id, n - 1); });
+        }
+      });
+}
+
+std::string World::phase(const std::string& id) const {
+  auto it = told_.find(id);
+  return it == told_.end() ? "" : it->second;
+}
+
+}  // namespace eiderreel::standin
