--- a/src/actors/fleet.cc
+++ b/src/actors/fleet.cc
@@ -15,21 +15,16 @@
       state_store_(state_store),
       owner_(owner),
       cloud_(rt, s),
-      assigner_(s, state_store, owner) {}
+      assigner_(s, state_store, owner),
+      rental_(rt, s, state_store, cloud_) {}
 
 void Fleet::start(Hooks hooks) {
   hooks_ = std::move(hooks);
   cloud_.start();
-  assigner_.start([this](const std::string& machine) { rented_.erase(machine); });
+  assigner_.start([this](const std::string& machine) { rental_.forget(machine); });
   get_catalog();
 }
 
-const MachineType* Fleet::type(const std::string& name) const {
-  for (const auto& t : types_)
-    if (t.name == name) return &t;
-  return nullptr;
-}
-
 void Fleet::get_catalog() {
   catalog_asked_ = true;
   cloud_.call({"", "GET", "/catalog", "", 0}, [this](HttpReply r) {
@@ -39,6 +34,7 @@
     if (!types) return;
     types_ = *types;
     assigner_.types_known(types_);
+    rental_.types_known(types_);
     hooks_.types_known(types_);
   });
 }
@@ -190,7 +186,7 @@
         unplaceable -= m.type->cpus;
         return true;
       });
-      if (unplaceable > 0) coming_cpus += rent_for(j->second.spec, unplaceable);
+      if (unplaceable > 0) coming_cpus += rental_.rent_for(j->second.spec, unplaceable);
     }
   for (const auto& t : types_) boot = std::max(boot, t.boot_s);
   // Where the usual slack before a deadline is long beside a boot time, cost saving costs little:
@@ -226,8 +222,8 @@
                                           all.waiting_spot_cpus - all.spot_cpus - coming_spot
                                     : 0;
   if (lasts || cheaper > 0)
-    rent_cheapest(lasts ? lack : 0,
-                  std::max(cheaper, all.waiting_spot_cpus > coming_cpus ? lack : 0.0));
+    rental_.rent_cheapest(lasts ? lack : 0,
+                          std::max(cheaper, all.waiting_spot_cpus > coming_cpus ? lack : 0.0));
   // Machines idle for long are released while nothing waits, ordinary ones first: they are dearer.
   // Guard: spot ones that dearer machines do the work of would be rented again at once.
   double surplus = all.idle_cpus - all.waiting_cpus;
@@ -242,120 +238,19 @@
   }
 }
 
-// The cheapest core first, evenly over the zones; on spot machines at most `spot_cpus`.
-void Fleet::rent_cheapest(double cpus, double spot_cpus) {
-  struct Offer {
-    const MachineType* t;
-    std::string zone;
-    bool spot;
-    double price;
-  };
-  std::vector<Offer> offers;
-  for (const auto& t : types_)
-    for (const auto& zone : t.zones)
-      for (bool spot : {true, false}) {
-        if ((spot ? spot_cpus : cpus) <= 0 || !rentable(t, zone, spot)) continue;
-        offers.push_back({&t, zone, spot, (spot ? t.spot_price : t.price) / t.cpus});
-      }
-  std::stable_sort(offers.begin(), offers.end(),
-                   [](const auto& a, const auto& b) { return a.price < b.price; });
-  for (std::size_t i = 0; i < offers.size();) {
-    std::size_t end = i;  // one type and kind, in all its zones
-    while (end < offers.size() && offers[end].t == offers[i].t &&
-           offers[end].spot == offers[i].spot)
-      ++end;
-    double& want = offers[i].spot ? spot_cpus : cpus;
-    for (; i < end; ++i) {
-      if (want <= 0) continue;
-      const Offer& o = offers[i];
-      const int count =
-          std::clamp(static_cast<int>(std::ceil(want / o.t->cpus / static_cast<double>(end - i))),
-                     1, k::kRentMost);
-      rent(*o.t, o.zone, o.spot, count);
-      want -= count * o.t->cpus;
-      if (o.spot) cpus -= count * o.t->cpus;
-    }
-  }
-}
-
-// The cheapest core on which this job may run; what is asked for, in CPUs.
-double Fleet::rent_for(const JobSpec& job, double cpus) {
-  const MachineType* best = nullptr;
-  std::string zone;
-  bool spot = false;
-  auto price = [](const MachineType& t, bool s) { return (s ? t.spot_price : t.price) / t.cpus; };
-  for (const auto& t : types_)
-    for (const auto& z : t.zones)
-      for (bool s : {true, false})
-        if (allowed(job, t, z, s) && rentable(t, z, s) &&
-            (!best || price(t, s) < price(*best, spot))) {
-          best = &t;
-          zone = z;
-          spot = s;
-        }
-  if (!best) return 0;
-  const int count = std::clamp(static_cast<int>(std::ceil(cpus / best->cpus)), 1, k::kRentMost);
-  rent(*best, zone, spot, count);
-  return count * best->cpus;
-}
-
-bool Fleet::rentable(const MachineType& t, const std::string& zone, bool spot) const {
-  auto pause = refused_.find(slot(t, zone, spot));
-  return !renting_.count(slot(t, zone, spot)) &&
-         (pause == refused_.end() || pause->second <= rt_.now());
-}
-
 std::vector<Fleet::Coming> Fleet::coming() const {
   std::vector<Coming> out;
-  for (const auto& [id, r] : rented_)
-    if (const MachineType* t = type(r.type)) out.push_back({t, r.zone, r.spot});
+  for (const auto& [id, r] : rental_.rented())
+    if (const MachineType* t = find_type(types_, r.type)) out.push_back({t, r.zone, r.spot});
   // Guard: at a start of the whole service hundreds of machines are up that no part has yet.
   for (const auto& [id, m] : known_)
-    if (m.listed.phase != "failed" && !rented_.count(id) && !state_store_.view().machines.count(id))
-      if (const MachineType* t = type(m.listed.type))
+    if (m.listed.phase != "failed" && !rental_.rented().count(id) &&
+        !state_store_.view().machines.count(id))
+      if (const MachineType* t = find_type(types_, m.listed.type))
         out.push_back({t, m.listed.zone, m.listed.spot});
   return out;
 }
 
-std::string Fleet::slot(const MachineType& t, const std::string& zone, bool spot) {
-  return t.name + "/" + zone + (spot ? "/spot" : "/");
-}
-
-void Fleet::rent(const MachineType& t, const std::string& zone, bool spot, int count) {
-  // Invariant 10: the revision of our claim is never given twice, and the counter not within it.
-  auto part = state_store_.view().parts.find(0);
-  if (part == state_store_.view().parts.end() || part->second.owner != s_.node) return;
-  renting_.insert(slot(t, zone, spot));
-  send_charter(
-      t, zone, spot, count,
-      "r-" + std::to_string(part->second.revision) + "-" + std::to_string(++charter_counter_),
-      k::kCommitTries);
-}
-
-void Fleet::send_charter(const MachineType& t, const std::string& zone, bool spot, int count,
-                         const std::string& charter, int tries) {
-  cloud_.call({"", "POST", "/machines", codec::rent_body(charter, t.name, zone, spot, count), 0},
-              [=, this, t = t](HttpReply r) {
-                if (r.status == 200) {
-                  auto ids = codec::parse_rented(r.body).value_or(std::vector<std::string>{});
-                  for (const auto& id : ids) rented_[id] = {t.name, zone, spot, rt_.now()};
-                  counters_.rented += ids.size();
-                  spdlog::info("machines rented charter={} type={} zone={} spot={} asked={} got={}",
-                               charter, t.name, zone, spot, count, ids.size());
-                  if (static_cast<int>(ids.size()) < count)
-                    refused_[slot(t, zone, spot)] = rt_.now() + k::kNoCapacityPauseMs;
-                } else if (r.status == 503 || r.status == 400) {
-                  refused_[slot(t, zone, spot)] = rt_.now() + k::kNoCapacityPauseMs;
-                } else if (tries > 1) {
-                  // Without an answer the same charter is asked again: it rents once at most.
-                  rt_.after(k::kRetryMs,
-                            [=, this] { send_charter(t, zone, spot, count, charter, tries - 1); });
-                  return;
-                }
-                renting_.erase(slot(t, zone, spot));
-              });
-}
-
 void Fleet::list(const std::string& since) {
   listing_ = true;
   std::string path = "/machines?page=" + std::to_string(k::kListPage);
@@ -413,11 +308,11 @@
     // earlier than `lag` before it was asked for, so it is newer than the last that had it.
     if (!in_list_.count(id) && list_sent_ - lag > e.last_seen) {
       gone.push_back(id);
-      rented_.erase(id);
+      rental_.forget(id);
       it = known_.erase(it);
       continue;
     }
-    const MachineType* t = type(e.listed.type);
+    const MachineType* t = find_type(types_, e.listed.type);
     const bool stuck =
         e.listed.phase == "starting" && t && e.listed.held_s > t->boot_s * k::kStuckBoots;
     if ((e.listed.phase == "failed" || stuck) && in_list_.count(id)) {
@@ -431,11 +326,9 @@
     ++it;
   }
   forget(gone);
-  for (auto it = rented_.begin(); it != rented_.end();) {
-    const bool up = v.machines.count(it->first) > 0;
-    const bool lost = !known_.count(it->first) && now - it->second.at > 4 * lag;
-    it = up || lost ? rented_.erase(it) : std::next(it);
-  }
+  std::set<std::string> listed;
+  for (const auto& [id, e] : known_) listed.insert(id);
+  rental_.drop_lost(listed, 4 * lag);
 }
 
 // Invariant 10: released durably first. A machine that stopped by itself holds nothing that
@@ -502,7 +395,7 @@
                 hooks_.machines_gone(ids);
                 for (const auto& id : ids) {
                   spdlog::info("machine returned machine={}", id);
-                  rented_.erase(id);
+                  rental_.forget(id);
                 }
                 forget(ids);
               });
@@ -520,7 +413,7 @@
     was_leading_ = true;
     leading_since_ = now;
     short_since_ = 0;
-    rented_.clear();
+    rental_.forget_all();
     known_.clear();
   }
   assigner_.assign_all();
--- a/src/actors/fleet.h
+++ b/src/actors/fleet.h
@@ -7,6 +7,7 @@
 
 #include "actors/cloud_client.h"
 #include "actors/machine_assigner.h"
+#include "actors/machine_rental.h"
 #include "actors/owner.h"
 #include "actors/state_store_client.h"
 
@@ -20,7 +21,7 @@
     std::function<void(const std::vector<std::string>&)> machines_gone;  // here and at peers
   };
   struct Counters {
-    std::uint64_t rented = 0, returned = 0, moves = 0;
+    std::uint64_t returned = 0, moves = 0;
   };
 
   Fleet(Runtime& rt, const Settings& s, StateStoreClient& state_store, Owner& owner);
@@ -29,6 +30,7 @@
   void assign(const Report& r, Reply reply);  // an unknown machine has reported to us, the leader
   const Counters& counters() const { return counters_; }
   const CloudClient& cloud() const { return cloud_; }
+  const MachineRental& rental() const { return rental_; }
 
  private:
   struct Known {  // a machine as the cloud last listed it
@@ -41,28 +43,14 @@
     bool spot = false;
   };
   std::vector<Coming> coming() const;
-  struct Rented {  // ours, not listed or not up yet
-    std::string type, zone;
-    bool spot = false;
-    Ms at = 0;
-  };
-
   void get_catalog();
   void list(const std::string& since);
   void listed_all();
   void balance();
   void scale();
-  void rent_cheapest(double cpus, double spot_cpus);
-  double rent_for(const JobSpec& job, double cpus);
-  bool rentable(const MachineType& t, const std::string& zone, bool spot) const;
-  static std::string slot(const MachineType& t, const std::string& zone, bool spot);
-  void rent(const MachineType& t, const std::string& zone, bool spot, int count);
-  void send_charter(const MachineType& t, const std::string& zone, bool spot, int count,
-                    const std::string& charter, int tries);
   void release(const std::string& id, const codec::MachineRecord& record, std::uint64_t revision);
   void return_released();
   void forget(const std::vector<std::string>& ids);
-  const MachineType* type(const std::string& name) const;
   void advise(int from, int to, double cpus, bool spot);
   void shed(int from, double cpus, bool drain);
   void drain_one(const std::map<int, PartNeed>& needs);
@@ -74,6 +62,7 @@
   Owner& owner_;
   CloudClient cloud_;
   MachineAssigner assigner_;
+  MachineRental rental_;
   Hooks hooks_;
   std::vector<MachineType> types_;
   bool catalog_asked_ = false, listing_ = false, returning_ = false;
@@ -84,11 +73,7 @@
   std::set<std::string> in_list_;
   std::set<std::string> gone_;  // machines that are surely gone; names are never used again
   std::map<std::string, Known> known_;
-  std::map<std::string, Rented> rented_;
-  std::map<std::string, Ms> refused_;  // type/zone/kind -> when to ask again
-  std::set<std::string> changing_;     // machine keys with a commit on its way
-  std::set<std::string> renting_;      // type/zone/kind with a request on its way
-  std::uint64_t charter_counter_ = 0;
+  std::set<std::string> changing_;  // machine keys with a commit on its way
   Counters counters_;
 };
 
--- a/src/actors/machine_assigner.cc
+++ b/src/actors/machine_assigner.cc
@@ -14,12 +14,6 @@
   return std::max(cpus, 1.0);
 }
 
-const MachineType* MachineAssigner::type(const std::string& name) const {
-  for (const auto& t : types_)
-    if (t.name == name) return &t;
-  return nullptr;
-}
-
 void MachineAssigner::add(const Report& r, Reply reply) {
   auto [it, fresh] = assigning_.try_emplace(r.machine);
   Reply old = std::exchange(it->second.reply, std::move(reply));
@@ -31,7 +25,7 @@
 std::vector<MachineAssigner::Share> MachineAssigner::shares() const {
   std::vector<Share> out(static_cast<std::size_t>(s_.parts));
   auto add = [&](const codec::MachineRecord& r) {
-    const MachineType* t = type(r.type);
+    const MachineType* t = find_type(types_, r.type);
     if (r.part < 0 || r.part >= s_.parts || !t) return;
     Share& d = out[static_cast<std::size_t>(r.part)];
     d.cpus[1] += t->cpus;
@@ -85,7 +79,7 @@
     if (a.sent) continue;
     if (dealt.empty()) dealt = shares();
     const Report& r = a.report;
-    const MachineType* t = type(r.type);
+    const MachineType* t = find_type(types_, r.type);
     a.record = {part_for(dealt, t ? t->cpus : 1, r.spot), r.type, r.zone, r.addr, r.spot};
     a.sent = true;
     batch.push_back(id);
--- a/src/actors/machine_assigner.h
+++ b/src/actors/machine_assigner.h
@@ -39,7 +39,6 @@
     double weight = 0, cpus[2] = {0, 0}, asked[2] = {0, 0};
   };
 
-  const MachineType* type(const std::string& name) const;
   std::vector<Share> shares() const;
   static int part_for(std::vector<Share>& shares, double cpus, bool spot);
   void send(std::vector<std::string> machines);
--- a/src/actors/metrics.cc
+++ b/src/actors/metrics.cc
@@ -144,7 +144,7 @@
   counter("deferred_reports_total", "reports that waited for work", o.deferred);
   counter("leases_over_total", "machines given up by their lease", o.leases_over);
   const auto& f = controller.fleet().counters();
-  counter("rented_total", "machines rented", f.rented);
+  counter("rented_total", "machines rented", controller.fleet().rental().rented_count());
   counter("returned_total", "machines returned", f.returned);
   t.by_status("state_requests_total", "requests to the state service by status, 0: no answer",
               controller.state_store().counters().replies);
--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -13,6 +13,14 @@
       started_(rt.now()),
       next_promise_request_(static_cast<std::uint64_t>(rt.random() * 9e15)) {}
 
+Reply Owner::Owned::take_deferred(const std::string& machine) {
+  auto it = deferred.find(machine);
+  if (it == deferred.end()) return nullptr;
+  Reply reply = std::move(it->second.reply);
+  deferred.erase(it);
+  return reply;
+}
+
 Owner::Owned* Owner::owned(int part) {
   auto it = owned_.find(part);
   return it == owned_.end() ? nullptr : &it->second;
@@ -83,11 +91,7 @@
   Owned* o = acting_owned(m->second.record.part);
   if (!o) return redirect(r, m->second.record.part, std::move(reply));
   // A newer report of the worker: it no longer waits for the answer to the deferred one.
-  if (auto p = o->deferred.find(r.machine); p != o->deferred.end()) {
-    auto old = std::move(p->second.reply);
-    o->deferred.erase(p);
-    old(503, "");
-  }
+  if (auto old = o->take_deferred(r.machine)) old(503, "");
   const Ms now = rt_.now();
   Answer a = o->core->on_report(r, now);
   if (a.verdict == Verdict::stale) {
@@ -176,9 +180,7 @@
     if (!starts.empty() || p.until <= now) ready.emplace_back(id, std::move(starts));
   }
   for (auto& [id, starts] : ready) {
-    auto reply = std::move(o.deferred[id].reply);
-    o.deferred.erase(id);
-    answer(o, id, std::move(starts), std::move(reply));
+    answer(o, id, std::move(starts), o.take_deferred(id));
   }
 }
 
@@ -188,9 +190,7 @@
   if (!acting(o.core->index())) return;
   for (auto& kill : o.core->take_kills()) {
     // A worker that waits for its answer hears of it there; the others by /commands.
-    if (auto p = o.deferred.find(kill.machine); p != o.deferred.end()) {
-      auto reply = std::move(p->second.reply);
-      o.deferred.erase(p);
+    if (auto reply = o.take_deferred(kill.machine)) {
       answer(o, kill.machine, std::move(kill.commands), std::move(reply));
       continue;
     }
@@ -234,11 +234,7 @@
       o.core->add_machine(id, it->second.revision, it->second.revision > o.core->term(), rt_.now());
     } else if (o.core->has_machine(id)) {
       // Given away by our own commit, idle; or released. Nothing of ours is on it.
-      if (auto deferred = o.deferred.find(id); deferred != o.deferred.end()) {
-        auto reply = std::move(deferred->second.reply);
-        o.deferred.erase(deferred);
-        reply(503, "");
-      }
+      if (auto reply = o.take_deferred(id)) reply(503, "");
       o.core->remove_machine(id);
     }
   }
--- a/src/actors/owner.h
+++ b/src/actors/owner.h
@@ -89,6 +89,8 @@
     std::unique_ptr<Part> core;
     bool active = false;
     std::map<std::string, DeferredReply> deferred;
+    // The reply that this machine waits for, no longer deferred; null: it waits for none.
+    Reply take_deferred(const std::string& machine);
     std::map<std::string, Flush> flushes;
     std::vector<std::string> unused_keys;  // to be deleted, see `sweep`
   };
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -92,6 +92,14 @@
   double requests = 0, changes = 0;
 };
 
+// The type of that name; null: the catalog has none.
+inline const MachineType* find_type(const std::vector<MachineType>& types,
+                                    const std::string& name) {
+  const auto it = std::find_if(types.begin(), types.end(),
+                               [&](const MachineType& t) { return t.name == name; });
+  return it == types.end() ? nullptr : &*it;
+}
+
 // Whether a machine of this type, zone and kind may ever hold a task of the job.
 inline bool allowed(const JobSpec& j, const MachineType& t, const std::string& zone, bool spot) {
   if (spot && !j.spot) return false;
