--- a/src/codec/json.h
+++ b/src/codec/json.h
@@ -74,7 +74,7 @@
 // several.
 struct TaskRange {
   std::uint32_t first = 0, count = 0;
-  auto operator<=>(const TaskRange&) const = default;
+  bool operator<(const TaskRange& other) const { return first < other.first; }
 };
 // The range that holds a task, for values of at most so many bytes.
 TaskRange progress_range(std::uint32_t task, std::uint32_t tasks, std::size_t value_bytes);
--- a/src/constants.h
+++ b/src/constants.h
@@ -92,11 +92,12 @@
 constexpr Ms kRetryMs = 300;            // ms; pause before a state request is tried again
 constexpr Ms kDoneBatchMs = 3000;       // ms; finished tasks of a job are written this often
 constexpr std::uint64_t kFeatures = 1;  // of this build, told in its record: 1 knows prerequisites
-constexpr int kPreconditionsPerChange = 4;     // conditions in a transaction; protocol
-constexpr int kEndsPage = 100;          // final records in one read; a job names few that are known
-constexpr std::size_t kProgressOverhead = 200;    // bytes of a value beside its bits
-constexpr std::size_t kRecordOverhead = 200;      // bytes of a value beside its list of jobs
-constexpr std::size_t kTransactionBytes = 50000;  // of the protocol's 64 KiB; the rest is preconditions
+constexpr int kPreconditionsPerChange = 4;  // conditions in a transaction; protocol
+constexpr int kEndsPage = 100;  // final records in one read; a job names few that are known
+constexpr std::size_t kProgressOverhead = 200;  // bytes of a value beside its bits
+constexpr std::size_t kRecordOverhead = 200;    // bytes of a value beside its list of jobs
+constexpr std::size_t kTransactionBytes =
+    50000;                               // of the protocol's 64 KiB; the rest is preconditions
 constexpr Ms kOrphanedPartsMs = 600000;  // ms; beyond any acceptance that may still be on its way
 constexpr std::size_t kStatusWaiting = 20;       // waiting jobs that /status names
 constexpr std::size_t kStatusPrerequisites = 5;  // prerequisites it names of each
