--- a/tests/chains_test.cc
+++ b/tests/chains_test.cc
@@ -274,6 +274,49 @@
   expect_rules_kept(w);
 }
 
+// The commit of a cancellation is held up while the job waits, and the last job that it needs ends
+// meanwhile: it is ready, and called off all the same.
+TEST_P(ChainCancellation, OfAWaitingJobInDoubtStartsNothingWhenTheJobIsReady) {
+  World w(seeded(GetParam()));
+  w.at(5, [&] { submit_pipeline(w, 9); });
+  w.at(13.9, [&] { w.late_writes({1, 3, 3}); });
+  w.at(14, [&] { w.cancel_at(w.owner_of(1), "run-2"); });
+  w.at(14.2, [&] { w.late_writes({}); });
+  w.run_until(60);
+  EXPECT_GE(w.without_answer(), 1u);
+  EXPECT_EQ(w.lines("job ready job=run-2"), 1u);  // it met
+  EXPECT_EQ(w.lines(" runs run-2/"), 0u);
+  expect_phase(w, {"run-1"}, "done");
+  expect_phase(w, {"run-2", "run-3"}, "cancelled");
+  expect_rules_kept(w);
+}
+
+// The owner of a dependent can't be reached by the node that is asked, and lags behind it: only a
+// final record, or its owner, says that the dependent is cancelled.
+TEST_P(ChainCancellation, IsNotToldByANodeThatDoesNotReachTheOwnerOfADependent) {
+  World w(seeded(GetParam()));
+  std::map<std::string, int> told;
+  w.at(5, [&] { submit_pipeline(w, 300); });
+  w.at(18, [&] { w.cut({"n0"}, {"n2"}, CutMode::reset); });  // the owner of run-3
+  w.at(19.8, [&] { w.state_refuses(2, true); });             // for less than its lease
+  w.at(20, [&] { w.cancel_at(0, "run-1"); });
+  for (double t = 19; t < 40; t += 0.02)
+    w.at(t, [&] {
+      for (int node : {0, 1, 2})
+        w.poll_once(node, "run-3", [&](int status, const std::string& phase) {
+          ++told[status == 200 ? phase : std::to_string(status)];
+        });
+    });
+  w.at(23, [&] { w.state_refuses(2, false); });
+  w.at(45, [&] { w.heal(); });
+  w.run_until(70);
+  EXPECT_GT(told["queued"], 20);
+  EXPECT_GT(told["cancelled"], 20);
+  EXPECT_GT(told["503"], 5);
+  expect_phase(w, {"run-1", "run-2", "run-3"}, "cancelled");
+  expect_rules_kept(w);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, ChainCancellation, testing::Values(1, 2, 3));
 
 // ----------------------------------------------------------------- ends that meet other troubles
