--- a/tests/meetings_test.cc
+++ b/tests/concurrent_faults_test.cc
@@ -1,4 +1,4 @@
-// Days on which two troubles meet. Each brings its meeting about for several seeds and offsets,
+// Days on which two faults meet. Each brings that about for several seeds and offsets,
 // asserts that it was reached, and then that no rule was broken.
 #include <array>
 
@@ -61,7 +61,7 @@
   w.at(outage_at() + 6, [&] { before = w.reports_taken(kOwner); });  // its grant would be over
   w.at(outage_at() + 50, [&] { confirmed = w.reports_taken(kOwner); });
   w.run_until(outage_at() + kOutageS - 1);
-  // The meeting: another controller has confirmed, and the workers stayed with the old owner.
+  // They meet: another controller has confirmed, and the workers stayed with the old owner.
   ASSERT_GE(w.confirmed("run-1").node, 0);
   EXPECT_NE(w.confirmed("run-1").node, kOwner);
   EXPECT_LT(w.confirmed("run-1").at, outage_at());
@@ -393,7 +393,7 @@
   expect_rules_kept(w);
 }
 
-// -------------------------------------------------------------------- the other meetings
+// -------------------------------------------------------------------- the other concurrent faults
 // Each case is a day in the world: a load, its troubles, and what shows that they met. The troubles
 // are over at `over`; from then on every rule holds.
 
@@ -403,7 +403,7 @@
   std::vector<std::string> off;  // called off
 };
 
-struct Meeting {
+struct FaultDay {
   const char* name;
   double over;
   std::function<void(World&, Load&)> script;
@@ -432,8 +432,8 @@
   return out;
 }
 
-const std::vector<Meeting>& meetings() {
-  static const std::vector<Meeting> all = {
+const std::vector<FaultDay>& fault_days() {
+  static const std::vector<FaultDay> all = {
       {"JobsOfOneZoneLoseItsMachines", 12,
        [](World& w, Load& load) {
          w.at(5, [&w] {
@@ -720,11 +720,12 @@
   return all;
 }
 
-class MeetingTest : public testing::TestWithParam<std::tuple<std::size_t, std::uint64_t>> {};
+class ConcurrentFaultsTest : public testing::TestWithParam<std::tuple<std::size_t, std::uint64_t>> {
+};
 
-TEST_P(MeetingTest, KeepsTheRules) {
+TEST_P(ConcurrentFaultsTest, KeepsTheRules) {
   const auto [index, seed] = GetParam();
-  const Meeting& m = meetings()[index];
+  const FaultDay& m = fault_days()[index];
   Options o;
   o.seed = seed;
   World w(o);
@@ -744,11 +745,11 @@
   EXPECT_EQ(w.checker().starts_after_cancel(), 0u);
 }
 
-INSTANTIATE_TEST_SUITE_P(Days, MeetingTest,
-                         testing::Combine(testing::Range<std::size_t>(0, meetings().size()),
+INSTANTIATE_TEST_SUITE_P(Days, ConcurrentFaultsTest,
+                         testing::Combine(testing::Range<std::size_t>(0, fault_days().size()),
                                           testing::Values(1, 2, 3)),
                          [](const auto& i) {
-                           return std::string(meetings()[std::get<0>(i.param)].name) + "Seed" +
+                           return std::string(fault_days()[std::get<0>(i.param)].name) + "Seed" +
                                   std::to_string(std::get<1>(i.param));
                          });
 
--- /dev/null
+++ b/tests/standin/chains.h
@@ -0,0 +1,38 @@
+// What the tests of jobs that wait for others share: ids, a pipeline of three teams, and the phases
+// that users were told.
+#pragma once
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "standin/expectations.h"
+
+namespace eiderreel::standin {
+
+using Seeds = testing::TestWithParam<std::uint64_t>;
+
+inline JobSpec needing(JobSpec spec, std::vector<std::string> prerequisites) {
+  spec.prerequisites = std::move(prerequisites);
+  return spec;
+}
+
+inline std::string id(int n) { return "run-" + std::to_string(n); }
+
+inline Options seeded(std::uint64_t seed) {
+  Options o;
+  o.seed = seed;
+  return o;
+}
+
+// run-1 (red) <- run-2 (blue) <- run-3 (gold); each runs for `run_s`.
+inline void submit_pipeline(World& w, double run_s) {
+  w.submit(w.job("run-1", "red", 4, 1, run_s));
+  w.submit_chained(needing(w.job("run-2", "blue", 4, 1, run_s), {"run-1"}));
+  w.submit_chained(needing(w.job("run-3", "gold", 4, 1, run_s), {"run-2"}));
+}
+
+inline void expect_phase(World& w, const std::vector<std::string>& ids, const std::string& phase) {
+  for (const auto& job : ids) EXPECT_EQ(w.phase(job), phase) << job;
+}
+
+}  // namespace eiderreel::standin
--- a/tests/standin/text.h
+++ b/tests/standin/text.h
@@ -1,5 +1,6 @@
 // Small helpers for the bodies and paths of the simulated services.
 #pragma once
+#include <rapidjson/document.h>
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
