--- a/tests/chain_scale_test.cc
+++ b/tests/chain_scale_test.cc
@@ -1,5 +1,6 @@
 // Large graphs of jobs that wait for others, and the limits of the state service.
 #include "standin/chains.h"
+#include "standin/text.h"
 
 using namespace eiderreel;
 using namespace eiderreel::standin;
@@ -69,6 +70,45 @@
   expect_rules_kept(w);
 }
 
+// As many prerequisites as a request holds: accepted within a user's patience, spread over many
+// values, and refused if a single one was never accepted.
+TEST(LargeChain, OneJobThatNeedsThousands) {
+  constexpr int kMany = 3000;
+  Options o = small_limits(4);
+  o.state_rps = o.state_write_rps = 1000;
+  World w(o);
+  std::vector<std::string> all;
+  w.at(5, [&] { w.submit(w.job("run-1", "red", 1, 1, 300)); });
+  for (int n = 0; n < kMany; ++n) {
+    all.push_back(id(1000 + n));
+    w.at(6 + 0.005 * n, [&w, n] {
+      w.submit_chained(needing(w.job(id(1000 + n), "blue", 1, 0.25, 1), {"run-1"}));
+    });
+  }
+  int with_unknown = 0;
+  w.at(24, [&] {
+    auto one_unknown = all;
+    one_unknown.push_back("run-99");
+    w.raw(2, "POST", "/v1/jobs", submission_text(needing(w.job("run-3", "gold", 1), one_unknown)),
+          [&](int status, std::string) { with_unknown = status; });
+    w.submit_chained(needing(w.job("run-2", "gold", 1), all));
+  });
+  w.at(29.5, [&] {
+    EXPECT_EQ(w.phase("run-2"), "queued");
+    EXPECT_GE(w.keys_under("e/awaits/run-2/"), 15u);
+    EXPECT_EQ(w.node(1)->state_store().view().dependencies.prerequisite_count("run-2"), 3000u);
+  });
+  w.at(30, [&] { w.cancel("run-1"); });
+  w.run_until(60);
+  EXPECT_EQ(with_unknown, 422);
+  EXPECT_LT(w.slowest_acceptance(), 5);
+  EXPECT_LT(w.confirmed("run-1").at, 30.5);
+  EXPECT_EQ(w.refused_too_large(), 0u);
+  EXPECT_EQ(w.phase("run-2"), "cancelled");
+  for (const auto& job : all) ASSERT_EQ(w.phase(job), "cancelled") << job;
+  expect_rules_kept(w);
+}
+
 // A chain of a thousand, cancelled at its first job.
 TEST(LargeChain, AChainOfAThousand) {
   constexpr int kLength = 1000;
