--- a/tests/chain_scale_test.cc
+++ b/tests/chain_scale_test.cc
@@ -20,19 +20,25 @@
   return o;
 }
 
+// So many small jobs that need run-1, one after the other.
+std::vector<std::string> submit_dependents(World& w, int count, double every_s) {
+  std::vector<std::string> all;
+  for (int n = 0; n < count; ++n) {
+    all.push_back(id(1000 + n));
+    w.at(6 + every_s * n, [&w, n] {
+      w.submit_chained(needing(w.job(id(1000 + n), "blue", 1, 0.25, 1), {"run-1"}));
+    });
+  }
+  return all;
+}
+
 // Hundreds of dependents of one job, and one job that needs them all: its prerequisites do not fit
 // into one value. Everything restarts while they wait.
 TEST(LargeChain, HundredsOfDependentsAndOneJobThatNeedsThemAll) {
   constexpr int kMany = 300;
   World w(small_limits(1));
-  std::vector<std::string> all;
   w.at(5, [&] { w.submit(w.job("run-1", "red", 1, 1, 60)); });
-  for (int n = 0; n < kMany; ++n) {
-    all.push_back(id(1000 + n));
-    w.at(6 + 0.08 * n, [&w, n] {
-      w.submit_chained(needing(w.job(id(1000 + n), "blue", 1, 0.25, 1), {"run-1"}));
-    });
-  }
+  const auto all = submit_dependents(w, kMany, 0.08);
   w.at(32, [&] { w.submit_chained(needing(w.job("run-2", "gold", 1, 1, 1), all)); });
   w.at(50, [&] {
     EXPECT_EQ(w.phase("run-2"), "queued");
@@ -77,14 +83,8 @@
   Options o = small_limits(4);
   o.state_rps = o.state_write_rps = 1000;
   World w(o);
-  std::vector<std::string> all;
   w.at(5, [&] { w.submit(w.job("run-1", "red", 1, 1, 300)); });
-  for (int n = 0; n < kMany; ++n) {
-    all.push_back(id(1000 + n));
-    w.at(6 + 0.005 * n, [&w, n] {
-      w.submit_chained(needing(w.job(id(1000 + n), "blue", 1, 0.25, 1), {"run-1"}));
-    });
-  }
+  const auto all = submit_dependents(w, kMany, 0.005);
   int with_unknown = 0;
   w.at(24, [&] {
     auto one_unknown = all;
