Names and files of what the owner persists; one HTTP call of the command line; a pure move

The owner's flush, finish and finished were names of our own: they are persist, commit_final and final_committed now, and what is kept for each job is JobPersistence. The request that `eiderreel status` sends moved to cli/http_call, where further commands can use it.

--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -343,7 +343,7 @@
     }
     send_kills(o);
     pump(o);
-    flush(part, o);
+    persist(part, o);
   }
   if (now - last_status_ >= k::kStatusEveryMs) {
     last_status_ = now;
--- a/src/actors/owner.h
+++ b/src/actors/owner.h
@@ -77,7 +77,7 @@
     Commit commit;
     std::vector<std::string> left_over;  // progress that its transaction had no room to delete
   };
-  struct Flush {
+  struct JobPersistence {
     Ms last = 0;
     bool in_flight = false;
     std::map<std::string, std::uint64_t> progress_revisions;  // by key
@@ -91,7 +91,7 @@
     std::map<std::string, DeferredReply> deferred;
     // The reply that this machine waits for, no longer deferred; null: it waits for none.
     Reply take_deferred(const std::string& machine);
-    std::map<std::string, Flush> flushes;
+    std::map<std::string, JobPersistence> persistence;
     std::vector<std::string> unused_keys;  // to be deleted, see `sweep`
   };
   struct PeerNews {
@@ -133,14 +133,14 @@
   void open_in(Owned& o, const std::string& id, const std::vector<std::uint32_t>& done);
   void log_waiting(const std::string& id) const;
   void ask_waiting(int part, const mesh::Ask& a, Reply reply);
-  void finish_waiting(int part, Owned& o);
+  void commit_finals_of_waiting(int part, Owned& o);
   void record_implied(int part, Owned& o);
   void sweep(int part, Owned& o);
-  void flush(int part, Owned& o);
-  void flush_job(int part, Owned& o, const std::string& id);
-  void finish(int part, const std::string& id, Reply reply);
-  void finished(int part, const std::string& id, std::uint64_t term, Outcome out, JobPhase phase,
-                const Reply& reply);
+  void persist(int part, Owned& o);
+  void persist_progress(int part, Owned& o, const std::string& id);
+  void commit_final(int part, const std::string& id, Reply reply);
+  void final_committed(int part, const std::string& id, std::uint64_t term, Outcome out,
+                       JobPhase phase, const Reply& reply);
   bool may_promise(const std::string& node, const mesh::PromiseRequest& a) const;
   std::vector<codec::Precondition> job_preconditions(int part, const std::string& id) const;
 
--- a/src/actors/owner_parts.cc
+++ b/src/actors/owner_parts.cc
@@ -172,7 +172,7 @@
       if (!v.jobs.count(job)) o->unused_keys.push_back(r.key);
       if (!v.jobs.count(job) || !r.done) continue;
       done[job].insert(done[job].end(), r.done->tasks.begin(), r.done->tasks.end());
-      o->flushes[job].progress_revisions[r.key] = r.revision;
+      o->persistence[job].progress_revisions[r.key] = r.revision;
     }
     const Ms now = rt_.now();
     for (const auto& [id, m] : v.machines)
--- a/src/cli/status.cc
+++ b/src/cli/status.cc
@@ -1,16 +1,12 @@
 #include "cli/status.h"
 
-#include <event2/buffer.h>
-#include <event2/event.h>
-#include <event2/http.h>
 #include <fmt/format.h>
 #include <rapidjson/document.h>
 
 #include <iostream>
-#include <memory>
 
+#include "cli/http_call.h"
 #include "constants.h"
-#include "net/loop.h"
 
 namespace eiderreel::cli {
 namespace {
@@ -68,21 +64,9 @@
 }  // namespace
 
 int status(const std::string& addr, bool json) {
-  net::Address a;
-  if (!net::parse_address(addr, a)) return fail(addr, "not an address of the form IP:PORT");
-  net::Base base(event_base_new());
-  HttpReply reply;
-  bool answered = false;
-  {
-    net::HttpClient client(base.get(), a);
-    client.send({addr, "GET", "/status", "", constants::kStatusTimeoutMs}, [&](HttpReply r) {
-      reply = std::move(r);
-      answered = true;
-      event_base_loopbreak(base.get());
-    });
-    event_base_dispatch(base.get());
-  }
-  if (!answered || reply.status == 0) return fail(addr, "no answer");
+  if (!is_address(addr)) return fail(addr, "not an address of the form IP:PORT");
+  const HttpReply reply = http_call(addr, "GET", "/status", "", constants::kStatusTimeoutMs);
+  if (reply.status == 0) return fail(addr, "no answer");
   if (reply.status != 200) return fail(addr, fmt::format("answered {}", reply.status));
   rapidjson::Document d;
   d.Parse(reply.body.c_str());
--- a/src/constants.h
+++ b/src/constants.h
@@ -33,7 +33,7 @@
 constexpr Ms kPromiseRequestEveryMs = 500;  // ms; several tries within one promise
 constexpr Ms kStateSilentMs = 1500;         // ms; without an answer so long, an outage is likely
 constexpr std::size_t kPromiseRequestsOpen = 16;  // questions whose sending time is kept
-constexpr Ms kFinishRetryMs = 1000;               // ms; pause before a final commit is tried again
+constexpr Ms kFinalRetryMs = 1000;                // ms; pause before a final commit is tried again
 
 // --- workers ------------------------------------------------------------------------------
 constexpr Ms kDeferBusyMs = 400;        // ms; under the half second a worker waits between reports
@@ -90,7 +90,7 @@
 constexpr int kListPage = 500;          // items; half of the largest page
 constexpr int kCommitTries = 3;         // tries of a commit before its caller hears "unknown"
 constexpr Ms kRetryMs = 300;            // ms; pause before a state request is tried again
-constexpr Ms kDoneBatchMs = 3000;       // ms; finished tasks of a job are written this often
+constexpr Ms kProgressEveryMs = 3000;   // ms; finished tasks of a job are written this often
 constexpr std::uint64_t kFeatures = 1;  // of this build, told in its record: 1 knows prerequisites
 constexpr int kPreconditionsPerChange = 4;  // conditions in a transaction; protocol
 constexpr int kEndsPage = 100;  // final records in one read; a job names few that are known
