--- a/src/actors/controller.cc
+++ b/src/actors/controller.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include "actors/metrics.h"
+#include "upgrade/http_routes.h"
 
 namespace eiderreel {
 
@@ -14,7 +15,8 @@
       state_store_(rt, s),
       owner_(rt, s, state_store_),
       job_api_(rt, s, state_store_, owner_),
-      fleet_(rt, s, state_store_, owner_) {}
+      fleet_(rt, s, state_store_, owner_),
+      upgrades_(rt, s, state_store_, owner_) {}
 
 void Controller::send(const std::string& node, const mesh::Body& body) {
   rt_.send(node, mesh::encode({s_.node, body}));
@@ -51,6 +53,7 @@
   state_store_.tick();
   owner_.tick();
   fleet_.tick();
+  upgrades_.tick();
 }
 
 void Controller::frame(const std::string& bytes) {
@@ -100,6 +103,8 @@
     if (!only("GET")) return;
     return reply(200, path == "/metrics" ? metrics_text(*this) : status_json(*this));
   }
+  if (upgrade::is_upgrade_path(path))
+    return upgrade::serve(upgrades_, method, path, body, std::move(reply));
   if (path == "/v1/jobs") {
     if (!only("POST")) return;
     return job_api_.submit(body, std::move(reply));
--- a/src/actors/controller.h
+++ b/src/actors/controller.h
@@ -6,6 +6,7 @@
 #include "actors/job_api.h"
 #include "actors/owner.h"
 #include "actors/state_store_client.h"
+#include "upgrade/coordinator.h"
 
 namespace eiderreel {
 
@@ -37,6 +38,7 @@
   Owner owner_;
   JobApi job_api_;
   Fleet fleet_;
+  upgrade::Coordinator upgrades_;
 };
 
 }  // namespace eiderreel
--- a/src/actors/job_api.cc
+++ b/src/actors/job_api.cc
@@ -59,6 +59,8 @@
   if (v.finals.count(j.id) || v.jobs.count(j.id)) return look_up(j.id, false, std::move(reply));
   if (!parsed.error.empty()) return refuse_if_unknown(j.id, parsed.error, std::move(reply));
   if (types_.empty()) return refuse(reply, "the machine types are not known yet");
+  if (!state_store_.stands_aside().empty())
+    return refuse(reply, "this controller's build does not act under the cluster version");
   if (auto why = can_never_run(j); !why.empty()) {
     spdlog::info("job refused job={} team={} why={}", j.id, j.team, why);
     return reply(422, codec::error_body(why));
--- a/src/actors/job_api.h
+++ b/src/actors/job_api.h
@@ -31,7 +31,9 @@
   void peer_answer(const mesh::Answer& a);
   void types_known(const std::vector<MachineType>& types) { types_ = types; }
 
-  bool ready() const { return state_store_.view().ready && !types_.empty(); }
+  bool ready() const {
+    return state_store_.view().ready && !types_.empty() && state_store_.stands_aside().empty();
+  }
   const Counters& counters() const { return counters_; }
 
  private:
--- a/src/actors/metrics.cc
+++ b/src/actors/metrics.cc
@@ -49,6 +49,20 @@
   std::string out_;
 };
 
+void put_version(Text& t, const Controller& controller) {
+  const StateStoreClient& state_store = controller.state_store();
+  t.type("acting_version", "gauge", "cluster version that this node acts under, 0: none");
+  const bool acts = state_store.acting_version().record_revision() != 0;
+  t.value("acting_version", "", acts ? upgrade::number(state_store.acting_version().version()) : 0);
+  const auto conversion = controller.owner().conversion().value_or(ConversionProgress{});
+  t.type("progress_values_left", "gauge", "values still to be converted, of parts owned here");
+  t.value("progress_values_left", "", conversion.values_left);
+  t.type("progress_values_converted_total", "counter", "values converted by this process");
+  t.value("progress_values_converted_total", "", conversion.values_converted);
+  t.type("progress_values_unreadable", "gauge", "values in no known form, of parts owned here");
+  t.value("progress_values_unreadable", "", conversion.unreadable);
+}
+
 // The first few jobs that wait for others, and what for.
 void put_waiting(rapidjson::Writer<rapidjson::StringBuffer>& w, const View& v) {
   w.Key("waiting");
@@ -102,6 +116,7 @@
   const View& v = controller.state_store().view();
   t.type("ready", "gauge", "1 when this node serves users");
   t.value("ready", "", controller.job_api().ready() ? 1 : 0);
+  if (controller.settings().upgrade.enabled) put_version(t, controller);
   t.type("open_jobs", "gauge", "accepted jobs that are not final, of all parts");
   t.value("open_jobs", "", v.jobs.size());
   t.type("waiting_jobs", "gauge", "open jobs that wait for other jobs, of all parts");
@@ -183,6 +198,10 @@
   w.String(controller.settings().node.c_str());
   w.Key("ready");
   w.Bool(controller.job_api().ready());
+  if (controller.settings().upgrade.enabled) {
+    w.Key("stands_aside");
+    w.String(controller.state_store().stands_aside().c_str());
+  }
   count("open_jobs", v.jobs.size());
   count("waiting_jobs", static_cast<std::uint64_t>(v.dependencies.waiting_count()));
   count("machines", v.machines.size());
--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -11,7 +11,9 @@
       s_(s),
       state_store_(state_store),
       started_(rt.now()),
-      next_promise_request_(static_cast<std::uint64_t>(rt.random() * 9e15)) {}
+      next_promise_request_(static_cast<std::uint64_t>(rt.random() * 9e15)),
+      conversion_pace_(s.upgrade.conversion_share * s.state_write_rps /
+                       static_cast<double>(s.peers.size() + 1)) {}
 
 Reply Owner::Owned::take_deferred(const std::string& machine) {
   auto it = deferred.find(machine);
@@ -59,6 +61,14 @@
   return out;
 }
 
+std::vector<int> Owner::unheard_parts() const {
+  const auto heard = needs();
+  std::vector<int> out;
+  for (int part = 0; part < s_.parts; ++part)
+    if (!heard.count(part)) out.push_back(part);
+  return out;
+}
+
 std::map<int, const Part*> Owner::parts() const {
   std::map<int, const Part*> out;
   for (const auto& [part, o] : owned_) out[part] = o.core.get();
@@ -353,6 +363,7 @@
     s.use = state_store_.use();
     s.hears = hears();
     s.features = k::kFeatures;
+    s.conversion = conversion();
     hooks_.broadcast(s);
   }
 }
--- a/src/actors/owner.h
+++ b/src/actors/owner.h
@@ -9,6 +9,8 @@
 #include "actors/state_store_client.h"
 #include "codec/mesh.h"
 #include "core/part.h"
+#include "upgrade/conversion_pace.h"
+#include "upgrade/progress_plan.h"
 
 namespace eiderreel {
 
@@ -60,6 +62,13 @@
   std::map<int, PartNeed> needs() const;
   std::map<int, const Part*> parts() const;
   const Counters& counters() const { return counters_; }
+  // How far the conversion of stored progress has come in our partitions; nothing where cluster
+  // versions are disabled.
+  std::optional<ConversionProgress> conversion() const;
+  // The same of a peer, if it is heard and tells it.
+  std::optional<ConversionProgress> peer_conversion(const std::string& node) const;
+  // Partitions of which no owner is heard, here or among the peers.
+  std::vector<int> unheard_parts() const;
 
  private:
   struct DeferredReply {
@@ -80,7 +89,7 @@
   struct JobPersistence {
     Ms last = 0;
     bool in_flight = false;
-    std::map<std::string, std::uint64_t> progress_revisions;  // by key
+    upgrade::StoredValues progress;
     bool cancel_asked = false;  // by its user, while it waited for other jobs
     // The final commit that was sent and is not proven undone: it may have landed, or still may.
     std::optional<FinalCommit> final_commit;
@@ -138,6 +147,13 @@
   void sweep(int part, Owned& o);
   void persist(int part, Owned& o);
   void persist_progress(int part, Owned& o, const std::string& id);
+  void convert_progress(int part, Owned& o);
+  upgrade::ProgressOfJob progress_of(int part, const Owned& o, const std::string& id) const;
+  void commit_progress(int part, Owned& o, const std::string& id, const std::string& nonce,
+                       upgrade::ProgressBatch batch, bool conversion);
+  void progress_committed(int part, const std::string& id, const upgrade::ProgressBatch& batch,
+                          std::uint64_t revision);
+  void read_progress_again(int part, const std::string& id, const upgrade::ProgressBatch& batch);
   void commit_final(int part, const std::string& id, Reply reply);
   void final_committed(int part, const std::string& id, std::uint64_t term, Outcome out,
                        JobPhase phase, const Reply& reply);
@@ -163,6 +179,7 @@
   std::uint64_t next_promise_request_ = 0;
   std::map<std::string, PeerNews> peers_;
   std::vector<MachineType> types_;
+  upgrade::ConversionPace conversion_pace_;
   bool sweeping_ = false;
   Ms last_status_ = 0;
   Ms silent_ = 0, listened_at_ = 0, probed_at_ = 0;  // see `listen`
--- a/src/actors/owner_parts.cc
+++ b/src/actors/owner_parts.cc
@@ -170,9 +170,14 @@
       // Progress is written under a claim: of a job accepted before ours, so one that is not open
       // is over.
       if (!v.jobs.count(job)) o->unused_keys.push_back(r.key);
-      if (!v.jobs.count(job) || !r.done) continue;
+      if (!v.jobs.count(job)) continue;
+      auto& stored = o->persistence[job].progress[r.key];
+      stored = upgrade::stored_progress(r);
+      if (stored.unreadable) {
+        spdlog::error("progress unreadable key={}", r.key);
+        continue;
+      }
       done[job].insert(done[job].end(), r.done->tasks.begin(), r.done->tasks.end());
-      o->persistence[job].progress_revisions[r.key] = r.revision;
     }
     const Ms now = rt_.now();
     for (const auto& [id, m] : v.machines)
--- a/src/actors/owner_persistence.cc
+++ b/src/actors/owner_persistence.cc
@@ -33,7 +33,8 @@
     c.writes = {{codec::final_key(id), codec::encode_final(phase, rt_.wall(), c.nonce), false},
                 {codec::job_key(id), "", false}};
     std::vector<std::string> left_over;
-    for (const auto& [key, revision] : f.progress_revisions) {
+    for (const auto& [key, stored] : f.progress) {
+      if (stored.unreadable) continue;
       if (static_cast<int>(c.writes.size()) < s_.batch())
         c.writes.push_back({key, "", false});
       else
@@ -88,6 +89,7 @@
   commit_finals_of_waiting(part, o);
   record_implied(part, o);
   sweep(part, o);
+  convert_progress(part, o);
 }
 
 // Jobs that were called off while they waited for others, as far as that is not proven yet.
@@ -165,58 +167,135 @@
   state_store_.commit(std::move(c));
 }
 
-// The done tasks of one job, in one batch of at most a transaction; the rest goes with the next. A
-// value is guarded by its own revision, so a late copy of an earlier batch cannot undo a later one.
+// ------------------------------------------------------------------------------ progress
+
+upgrade::ProgressOfJob Owner::progress_of(int part, const Owned& o, const std::string& id) const {
+  const Part* core = o.core.get();
+  return {part,
+          id,
+          core->task_count(id),
+          static_cast<std::size_t>(s_.state_value_kb * 1024),
+          [core, id](std::uint32_t first, std::uint32_t count) {
+            return core->done_among(id, first, count);
+          },
+          o.persistence.at(id).progress};
+}
+
+// The done tasks of one job, in one batch of at most a transaction; the rest goes with the next.
 void Owner::persist_progress(int part, Owned& o, const std::string& id) {
+  o.persistence[id].last = rt_.now();
+  const std::string nonce = state_store_.nonce();
+  auto batch = upgrade::batch_to_record(progress_of(part, o, id), o.core->unrecorded(id),
+                                        state_store_.progress_policy().write,
+                                        static_cast<std::size_t>(s_.batch()), nonce);
+  if (!batch.empty()) commit_progress(part, o, id, nonce, std::move(batch), false);
+}
+
+// One job at a time, and only within the share of the state service's changes that the operators
+// leave to it. What is left to do stands in the values themselves, so any owner can go on with it.
+void Owner::convert_progress(int part, Owned& o) {
+  const auto policy = state_store_.progress_policy();
+  if (!state_store_.acting_version().enabled() || !policy.convert_to) return;
+  if (!conversion_pace_.allows(rt_.now())) return;
+  for (const auto& [id, f] : o.persistence) {
+    if (f.in_flight || !o.core->has_job(id) || o.core->held(id) || o.core->complete(id) ||
+        upgrade::values_to_convert(f.progress, *policy.convert_to) == 0)
+      continue;
+    const std::string nonce = state_store_.nonce();
+    auto batch = upgrade::batch_to_convert(progress_of(part, o, id), *policy.convert_to,
+                                           static_cast<std::size_t>(s_.batch()), nonce);
+    if (batch.empty()) continue;
+    conversion_pace_.take(batch.writes.size() + batch.deletes.size());
+    return commit_progress(part, o, id, nonce, std::move(batch), true);
+  }
+}
+
+// Each value is guarded by its own revision, so a late copy of an earlier batch cannot undo a later
+// one. The values are in the form of the version acted under, and never land under another.
+void Owner::commit_progress(int part, Owned& o, const std::string& id, const std::string& nonce,
+                            upgrade::ProgressBatch batch, bool conversion) {
   JobPersistence& f = o.persistence[id];
   f.in_flight = true;
-  f.last = rt_.now();
-  const std::uint32_t count = o.core->task_count(id);
-  const auto value_bytes = static_cast<std::size_t>(s_.state_value_kb * 1024);
-  const auto most = static_cast<std::size_t>(s_.batch());
-  std::vector<std::uint32_t> tasks;
-  std::set<codec::TaskRange> ranges;
-  for (auto task : o.core->unrecorded(id)) {
-    const codec::TaskRange range = codec::progress_range(task, count, value_bytes);
-    if (ranges.size() == most && !ranges.count(range)) break;
-    ranges.insert(range);
-    tasks.push_back(task);
-  }
+  auto revision_of = [&](const std::string& key) {
+    const auto stored = f.progress.find(key);
+    return stored == f.progress.end() ? 0 : stored->second.revision;
+  };
   Commit c;
   c.pace = Pace::progress;
-  c.nonce = state_store_.nonce();
+  c.nonce = nonce;
+  c.binding = VersionBinding::as_encoded;
   c.preconditions = job_preconditions(part, id);
-  std::vector<std::string> keys;
-  for (const codec::TaskRange& range : ranges) {
-    const std::string key = codec::done_key(part, id, range);
-    const auto revision = f.progress_revisions.find(key);
-    const auto done = o.core->done_among(id, range.first, range.count);
-    c.preconditions.push_back({key, revision == f.progress_revisions.end() ? 0 : revision->second});
-    c.writes.push_back({key, codec::encode_done(done, range, c.nonce), false});
-    keys.push_back(key);
+  for (auto& value : batch.writes) {
+    c.preconditions.push_back({value.key, revision_of(value.key)});
+    c.writes.push_back({value.key, std::move(value.value), false});
   }
-  const std::uint64_t term = o.core->term();
-  c.done = [this, part, id, term, tasks, keys](Outcome out, std::uint64_t revision) {
+  for (const auto& key : batch.deletes) {
+    c.preconditions.push_back({key, revision_of(key)});
+    c.writes.push_back({key, "", false});
+  }
+  c.done = [this, part, id, term = o.core->term(), batch, conversion](Outcome out,
+                                                                      std::uint64_t revision) {
+    if (out == Outcome::ok && conversion)
+      conversion_pace_.converted(batch.writes.size() + batch.deletes.size());
     Owned* o = owned(part);
     if (!o || o->core->term() != term) return;
     auto f = o->persistence.find(id);
     if (f == o->persistence.end()) return;
     f->second.in_flight = false;
-    if (out == Outcome::ok) {
-      for (const auto& key : keys) f->second.progress_revisions[key] = revision;
-      o->core->mark_recorded(id, tasks);
-    } else if (out != Outcome::refused) {
-      // Which batch stands there is not known: read the revisions before the next one.
-      for (const auto& key : keys)
-        state_store_.read(key, [this, part, id, term, key](auto row) {
-          Owned* o = owned(part);
-          if (!row || !o || o->core->term() != term) return;
-          auto f = o->persistence.find(id);
-          if (f != o->persistence.end()) f->second.progress_revisions[key] = row->revision;
-        });
-    }
+    if (out == Outcome::ok)
+      progress_committed(part, id, batch, revision);
+    else if (out != Outcome::refused)
+      read_progress_again(part, id, batch);
   };
   state_store_.commit(std::move(c));
 }
 
+void Owner::progress_committed(int part, const std::string& id, const upgrade::ProgressBatch& batch,
+                               std::uint64_t revision) {
+  Owned& o = owned_.at(part);
+  auto& progress = o.persistence.at(id).progress;
+  for (const auto& value : batch.writes) progress[value.key] = {revision, value.form, false};
+  for (const auto& key : batch.deletes) progress.erase(key);
+  o.core->mark_recorded(id, batch.recorded);
+}
+
+// Which batch stands there is not known: the revisions are read before the next one.
+void Owner::read_progress_again(int part, const std::string& id,
+                                const upgrade::ProgressBatch& batch) {
+  std::vector<std::string> keys = batch.deletes;
+  for (const auto& value : batch.writes) keys.push_back(value.key);
+  const std::uint64_t term = owned_.at(part).core->term();
+  for (const auto& key : keys)
+    state_store_.read(key, [this, part, id, term, key](auto row) {
+      Owned* o = owned(part);
+      if (!row || !o || o->core->term() != term) return;
+      auto f = o->persistence.find(id);
+      if (f == o->persistence.end()) return;
+      if (row->revision == 0)
+        f->second.progress.erase(key);
+      else
+        f->second.progress[key] = upgrade::stored_progress(*row);
+    });
+}
+
+std::optional<ConversionProgress> Owner::conversion() const {
+  if (!state_store_.acting_version().enabled()) return std::nullopt;
+  ConversionProgress sum;
+  sum.values_converted = conversion_pace_.converted();
+  sum.values_per_s = conversion_pace_.values_per_s();
+  const auto to = state_store_.progress_policy().convert_to;
+  for (const auto& [part, o] : owned_)
+    for (const auto& [id, f] : o.persistence) {
+      if (to) sum.values_left += upgrade::values_to_convert(f.progress, *to);
+      for (const auto& [key, stored] : f.progress) sum.unreadable += stored.unreadable;
+    }
+  return sum;
+}
+
+std::optional<ConversionProgress> Owner::peer_conversion(const std::string& node) const {
+  const auto peer = peers_.find(node);
+  if (peer == peers_.end() || !peer_alive(node)) return std::nullopt;
+  return peer->second.status.conversion;
+}
+
 }  // namespace eiderreel
--- a/src/actors/replicated_view.cc
+++ b/src/actors/replicated_view.cc
@@ -37,6 +37,8 @@
     if (gone(codec::node_key(id))) missing.push_back(codec::node_key(id));
   for (const auto& [id, e] : view_.parts)
     if (gone(codec::part_key(id))) missing.push_back(codec::part_key(id));
+  if (view_.cluster.revision != 0 && gone(codec::version_key()))
+    missing.push_back(codec::version_key());
   for (const auto& [spread, parts] : spread_parts_)
     for (const auto& [number, part] : parts) {
       const std::string key = codec::prerequisite_key(spread.first, spread.second, number);
@@ -132,12 +134,9 @@
       m[name] = {*row.machine, row.revision};
     if (announce) events_.machine_changed(name);
   } else if (under(row.key, "e/node/")) {
-    auto it = view_.nodes.find(name);
-    if (it != view_.nodes.end() && it->second.revision >= row.revision) return;
-    if (row.deleted)
-      view_.nodes.erase(name);
-    else if (row.node)
-      view_.nodes[name] = {*row.node, row.revision, rt_.now()};
+    apply_node(name, row);
+  } else if (row.key == codec::version_key()) {
+    apply_version(row);
   } else if (under(row.key, "e/part/")) {
     const int part = std::atoi(name.c_str());
     auto it = view_.parts.find(part);
@@ -150,6 +149,35 @@
   }
 }
 
+void ReplicatedView::apply_node(const std::string& name, const codec::StateRow& row) {
+  const auto known = view_.nodes.find(name);
+  if (known != view_.nodes.end() && known->second.revision >= row.revision) return;
+  if (row.deleted) {
+    view_.nodes.erase(name);
+    return;
+  }
+  if (!row.node) return;
+  // Under the same lease it has been there all the time, and only names another version now.
+  const bool same_lease = known != view_.nodes.end() &&
+                          known->second.record.boot == row.node->boot &&
+                          known->second.record.grant == row.node->grant;
+  const Ms seen = same_lease ? known->second.seen : rt_.now();
+  view_.nodes[name] = {*row.node, row.revision, seen};
+}
+
+void ReplicatedView::apply_version(const codec::StateRow& row) {
+  if (view_.cluster.revision >= row.revision) return;
+  if (row.deleted) {
+    view_.cluster = {};
+    view_.version_record.reset();
+    return;
+  }
+  view_.version_record = row.version;
+  view_.cluster.revision = row.revision;
+  view_.cluster.version = std::nullopt;
+  if (row.version) view_.cluster.version = row.version->version;
+}
+
 void ReplicatedView::apply_job(const std::string& id, const codec::StateRow& row, bool announce) {
   auto it = view_.jobs.find(id);
   if (!row.deleted) {
--- a/src/actors/replicated_view.h
+++ b/src/actors/replicated_view.h
@@ -15,6 +15,7 @@
 #include "actors/runtime.h"
 #include "codec/json.h"
 #include "core/dependency_graph.h"
+#include "upgrade/acting_version.h"
 
 namespace eiderreel {
 
@@ -44,7 +45,9 @@
   std::map<std::string, MachineEntry> machines;
   std::map<std::string, NodeEntry> nodes;
   std::unordered_map<std::string, JobEntry> jobs;
-  DependencyGraph dependencies;  // of the open jobs that have prerequisites
+  upgrade::ClusterState cluster;  // followed where cluster versions are enabled
+  std::optional<codec::VersionRecord> version_record;  // the step that led there
+  DependencyGraph dependencies;                        // of the open jobs that have prerequisites
   // Ends of jobs, the most recent ones; a missing one is read, never taken for unknown.
   std::unordered_map<std::string, DependencyGraph::End> finals;
 };
@@ -99,6 +102,8 @@
 
   void apply_job(const std::string& id, const codec::StateRow& row, bool announce);
   void apply_part(const codec::StateRow& row);
+  void apply_node(const std::string& name, const codec::StateRow& row);
+  void apply_version(const codec::StateRow& row);
   void open_job(const std::string& id, const codec::StateRow& row, bool announce);
   void open_dependent(JobSpec& spec, std::uint64_t revision);
   bool take_parts(const std::string& id, codec::StateRow& row);
--- a/src/actors/settings.h
+++ b/src/actors/settings.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/types.h"
+#include "upgrade/upgrade_settings.h"
 
 namespace eiderreel {
 
@@ -30,6 +31,7 @@
   double cloud_rps = 4, list_lag_s = 5;
   double core_share = 1, memory_mb = 64;
   int max_sockets = 1000;
+  upgrade::UpgradeSettings upgrade;  // the operators' own; see load_upgrade_settings
 
   std::vector<std::string> node_names() const {  // sorted; the same on every node
     std::vector<std::string> n{node};
--- a/src/actors/state_store_client.cc
+++ b/src/actors/state_store_client.cc
@@ -10,8 +10,9 @@
 
 namespace k = constants;
 
-const std::array<std::string, 5> kFollowed = {"e/awaits/", "e/job/", "e/machine/", "e/node/",
-                                              "e/part/"};
+// The versions come last, and only where they are enabled.
+const std::array<std::string, 6> kFollowed = {"e/awaits/", "e/job/",  "e/machine/",
+                                              "e/node/",   "e/part/", codec::version_prefix()};
 
 // In doubt: no answer, or one that does not tell whether the request was carried out.
 bool in_doubt(int status) { return status == 0 || (status >= 500 && status != 503); }
@@ -19,7 +20,11 @@
 }  // namespace
 
 StateStoreClient::StateStoreClient(Runtime& rt, const Settings& s)
-    : rt_(rt), s_(s), replica_(rt), rate_limiter_(s) {}
+    : rt_(rt),
+      s_(s),
+      replica_(rt),
+      acting_version_(s.upgrade.enabled, s.upgrade.range),
+      rate_limiter_(s) {}
 
 void StateStoreClient::start(ReplicatedView::Events events, std::function<void()> grant_lost) {
   grant_lost_ = std::move(grant_lost);
@@ -95,25 +100,59 @@
   if (!view().ready) return;
   const Ms now = rt_.now();
   resolve();
+  log_stand_aside();
+  if (!told_aside_.empty()) return;
   if (grant_ == 0) {
     get_grant();
   } else if (!extending_ && now - last_extend_ >= k::kExtendEveryMs) {
     extend();
   }
-  if (grant_alive() && !node_written_ && !writing_node_) {
-    writing_node_ = true;
-    Commit c;
-    c.nonce = nonce();
-    c.writes = {{codec::node_key(s_.node),
-                 codec::encode(codec::NodeRecord{rt_.boot_id(), grant_, k::kFeatures}, c.nonce),
-                 true}};
-    c.pace = Pace::urgent;
-    c.done = [this](Outcome o, std::uint64_t) {
-      node_written_ = o == Outcome::ok;
-      rt_.after(node_written_ ? 0 : k::kRetryMs, [this] { writing_node_ = false; });
-    };
-    commit(std::move(c));
+  const bool record_due =
+      !node_written_ || (acting_version_.enabled() && acting_version_.needs_record(view().cluster));
+  if (grant_alive() && record_due && !writing_node_) write_node_record();
+}
+
+// Says that this controller is there, and which version it acts under from now on. Guard: where
+// versions are enabled the record names the durable version as it is at that moment, and replaces
+// just the record that was known; so no late copy of an older one can bring back an older version.
+void StateStoreClient::write_node_record() {
+  writing_node_ = true;
+  const std::string key = codec::node_key(s_.node);
+  codec::NodeRecord record{rt_.boot_id(), grant_, k::kFeatures, std::nullopt};
+  Commit c;
+  c.nonce = nonce();
+  c.binding = VersionBinding::explicit_;
+  c.pace = Pace::urgent;
+  if (acting_version_.enabled()) {
+    record.versions = {acting_version_.range(), *view().cluster.version, s_.upgrade.build};
+    const auto known = view().nodes.find(s_.node);
+    c.preconditions = {{codec::version_key(), view().cluster.revision},
+                       {key, known == view().nodes.end() ? 0 : known->second.revision}};
   }
+  c.writes = {{key, codec::encode(record, c.nonce), true}};
+  c.done = [this, versions = record.versions, grant = grant_](Outcome o, std::uint64_t revision) {
+    const bool written = o == Outcome::ok && grant == grant_;
+    if (written) node_written_ = true;
+    if (written && versions) {
+      spdlog::info("version acknowledged node={} version={} revision={}", s_.node,
+                   upgrade::to_string(versions->acting), revision);
+      acting_version_.record_written(versions->acting, revision);
+    }
+    rt_.after(written ? 0 : k::kRetryMs, [this] { writing_node_ = false; });
+  };
+  commit(std::move(c));
+}
+
+// A build that cannot act under the durable version asks for no lease, so it owns nothing and none
+// of its writes can be bound to a version.
+void StateStoreClient::log_stand_aside() {
+  const std::string why = stands_aside();
+  if (why == told_aside_) return;
+  told_aside_ = why;
+  if (why.empty())
+    spdlog::info("version ok node={}", s_.node);
+  else
+    spdlog::error("stands aside node={} reason=\"{}\"", s_.node, why);
 }
 
 // -------------------------------------------------------------------------------- grant
@@ -178,6 +217,7 @@
               spdlog::warn("grant lost node={} grant={}", s_.node, grant_);
               grant_ = 0;
               alive_until_ = 0;
+              acting_version_.record_lost();
               grant_lost_();
             } else {
               last_extend_ = rt_.now() - k::kExtendEveryMs + k::kRetryMs;  // again soon
@@ -194,7 +234,7 @@
 }
 
 void StateStoreClient::load(std::size_t prefix, std::string since) {
-  if (prefix == kFollowed.size()) {
+  if (prefix == kFollowed.size() - (acting_version_.enabled() ? 0 : 1)) {
     replica_.remove_missing(loaded_, follow_since_);
     follow(0);
     return;
@@ -274,37 +314,85 @@
 // ------------------------------------------------------------------------------ commits
 
 void StateStoreClient::commit(Commit c) {
-  try_commit(std::make_shared<Commit>(std::move(c)), k::kCommitTries);
+  if (c.binding == VersionBinding::as_encoded) c.encoded_under = acting_version_.record_revision();
+  const int tries = c.tries;
+  try_commit(std::make_shared<Commit>(std::move(c)), tries);
+}
+
+bool StateStoreClient::is_bound(const Commit& c) const {
+  return acting_version_.enabled() && c.binding != VersionBinding::explicit_;
+}
+
+codec::Precondition StateStoreClient::version_guard(const Commit& c) const {
+  const bool as_encoded = c.binding == VersionBinding::as_encoded;
+  return {codec::node_key(s_.node),
+          as_encoded ? c.encoded_under : acting_version_.record_revision()};
 }
 
 void StateStoreClient::try_commit(std::shared_ptr<Commit> c, int tries) {
-  submit({{"", "POST", "/commit", codec::commit_body(c->preconditions, c->writes, grant_),
+  std::optional<codec::Precondition> guard;
+  if (is_bound(*c)) {
+    guard = version_guard(*c);
+    if (guard->revision == 0 || !told_aside_.empty()) return try_without_record(c, tries);
+  }
+  std::vector<codec::Precondition> preconditions = c->preconditions;
+  if (guard) preconditions.push_back(*guard);
+  submit({{"", "POST", "/commit", codec::commit_body(preconditions, c->writes, grant_),
            k::kStateTimeoutMs},
           static_cast<int>(c->writes.size()),
           c->pace,
           0,
-          [this, c, tries](HttpReply r) {
-            if (r.status == 200) {
-              auto store_revision = codec::parse_number(r.body, "ledger").value_or(0);
-              replica_.apply_commit(c->writes, store_revision);
-              c->done(Outcome::ok, store_revision);
-            } else if (r.status == 409) {
-              // Invariant 8: an earlier try of ours may be what the preconditions met.
-              if (c->doubt)
-                read_back(c, codec::parse_number(r.body, "ledger").value_or(0), k::kCommitTries);
-              else
-                c->done(Outcome::conflict, 0);
-            } else if (in_doubt(r.status) || c->doubt) {
-              c->doubt = true;
-              if (tries <= 1) {
-                c->done(Outcome::unknown, 0);
-                return;
-              }
-              rt_.after(k::kRetryMs, [this, c, tries] { try_commit(c, tries - 1); });
-            } else {
-              c->done(Outcome::refused, 0);
-            }
-          }});
+          [this, c, tries, guard](HttpReply r) { commit_answered(c, tries, guard, r); }});
+}
+
+void StateStoreClient::commit_answered(const std::shared_ptr<Commit>& c, int tries,
+                                       const std::optional<codec::Precondition>& guard,
+                                       const HttpReply& r) {
+  if (r.status == 200) {
+    const auto store_revision = codec::parse_number(r.body, "ledger").value_or(0);
+    replica_.apply_commit(c->writes, store_revision);
+    c->done(Outcome::ok, store_revision);
+  } else if (r.status == 409) {
+    if (guard && codec::parse_failed(r.body) == std::vector<std::string>{guard->key})
+      return version_changed(c, tries, guard->revision);
+    // Invariant 8: an earlier try of ours may be what the preconditions met.
+    if (c->doubt)
+      read_back(c, codec::parse_number(r.body, "ledger").value_or(0), k::kCommitTries);
+    else
+      c->done(Outcome::conflict, 0);
+  } else if (in_doubt(r.status) || c->doubt) {
+    c->doubt = true;
+    if (tries <= 1) {
+      c->done(Outcome::unknown, 0);
+      return;
+    }
+    rt_.after(k::kRetryMs, [this, c, tries] { try_commit(c, tries - 1); });
+  } else {
+    c->done(Outcome::refused, 0);
+  }
+}
+
+// There is no record of this controller to bind a write to, so none is sent. An earlier try may
+// still have landed.
+void StateStoreClient::try_without_record(const std::shared_ptr<Commit>& c, int tries) {
+  if (!c->doubt) {
+    rt_.after(0, [c] { c->done(Outcome::refused, 0); });
+  } else if (tries <= 1) {
+    rt_.after(0, [c] { c->done(Outcome::unknown, 0); });
+  } else {
+    rt_.after(k::kRetryMs, [this, c, tries] { try_commit(c, tries - 1); });
+  }
+}
+
+// Invariant 13: the record that the commit was bound to is no longer there, and all else is as the
+// commit asks. No try of it has landed, since that would have changed what it compares, and none
+// can any more.
+void StateStoreClient::version_changed(const std::shared_ptr<Commit>& c, int tries,
+                                       std::uint64_t guard_revision) {
+  c->doubt = false;
+  if (c->binding == VersionBinding::as_encoded || tries <= 1) return c->done(Outcome::refused, 0);
+  const bool learnt = acting_version_.record_revision() != guard_revision;
+  rt_.after(learnt ? 0 : k::kVersionRetryMs, [this, c, tries] { try_commit(c, tries - 1); });
 }
 
 // The preconditions failed after a try without answer: whose write is it that stands there? Stamps
--- a/src/actors/state_store_client.h
+++ b/src/actors/state_store_client.h
@@ -25,15 +25,25 @@
   unknown,     // it may have been done, or may still be
 };
 
+// How a commit is bound to the version that its controller acts under, see upgrade::ActingVersion.
+enum class VersionBinding {
+  current,     // to the one at its sending; after a change of version it is sent again
+  as_encoded,  // its values depend on the version, so it is never sent under another
+  explicit_,   // its own preconditions say it all
+};
+
 struct Commit {
   std::vector<codec::Precondition> preconditions;
   std::vector<codec::Write> writes;  // the first one puts a value with the nonce of this commit
   std::string nonce;
   Pace pace = Pace::user;
+  int tries = constants::kCommitTries;
   std::function<void(Outcome, std::uint64_t store_revision)> done;
   // A try of it is without answer. Guard: a later try that is refused says nothing of that one, so
   // whoever tries again after `unknown` sends this same commit with its doubt kept.
   bool doubt = false;
+  VersionBinding binding = VersionBinding::current;
+  std::uint64_t encoded_under = 0;  // the revision of the controller's record; see `as_encoded`
 };
 
 class StateStoreClient {
@@ -54,6 +64,12 @@
   // Invariant 6: counted from the sending of the last good extend, less drift.
   bool grant_alive() const { return grant_ != 0 && rt_.now() < alive_until_; }
   Ms last_good() const { return last_good_; }
+  const upgrade::ActingVersion& acting_version() const { return acting_version_; }
+  upgrade::ProgressPolicy progress_policy() const {
+    return upgrade::progress_policy(acting_version_.version());
+  }
+  // Why this controller must not act at all; empty: it may.
+  std::string stands_aside() const { return acting_version_.obstacle(view().cluster); }
   // Marks a value as written by this process.
   std::string nonce();
 
@@ -109,6 +125,14 @@
   void load(std::size_t prefix, std::string since);
   void follow(Ms wait);
   void try_commit(std::shared_ptr<Commit> c, int tries);
+  void commit_answered(const std::shared_ptr<Commit>& c, int tries,
+                       const std::optional<codec::Precondition>& guard, const HttpReply& r);
+  bool is_bound(const Commit& c) const;
+  codec::Precondition version_guard(const Commit& c) const;
+  void try_without_record(const std::shared_ptr<Commit>& c, int tries);
+  void version_changed(const std::shared_ptr<Commit>& c, int tries, std::uint64_t guard_revision);
+  void log_stand_aside();
+  void write_node_record();
   void read_back(std::shared_ptr<Commit> c, std::uint64_t store_revision, int tries);
   void list_from(const std::string& prefix, const std::string& since,
                  std::shared_ptr<std::vector<codec::StateRow>> rows,
@@ -124,6 +148,8 @@
   bool granting_ = false, extending_ = false, node_written_ = false, writing_node_ = false;
   bool resolving_ = false;
   Ms resolve_at_ = 0;
+  upgrade::ActingVersion acting_version_;
+  std::string told_aside_;  // what was last logged of it
   std::uint64_t follow_since_ = 0;
   std::set<std::string> loaded_;  // keys met while listing anew
   std::deque<Pending> queue_;
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -10,6 +10,7 @@
 #include "actors/controller.h"
 #include "actors/settings.h"
 #include "cli/status.h"
+#include "cli/upgrade_commands.h"
 #include "net/loop.h"
 
 namespace {
@@ -30,24 +31,48 @@
   spdlog::set_default_logger(logger);
 }
 
-bool load(const std::string& file, Settings& out) {
-  auto result = load_settings(file);
-  for (const auto& p : result.problems) std::cerr << p << "\n";
+// The settings files that a controller is given.
+struct Files {
+  std::string platform;
+  std::string upgrade;  // empty: none
+};
+
+// This build's range of cluster versions; a build for rehearsals may be given a lower ceiling.
+upgrade::VersionRange build_versions() {
+#ifdef EIDERREEL_NEWEST_VERSION
+  return {upgrade::kFirstVersion, static_cast<upgrade::ClusterVersion>(EIDERREEL_NEWEST_VERSION)};
+#else
+  return {};
+#endif
+}
+
+bool load(const Files& files, Settings& out) {
+  auto result = load_settings(files.platform);
   out = result.settings;
-  return result.problems.empty();
+  out.upgrade.build = EIDERREEL_VERSION;
+  out.upgrade.range = build_versions();
+  auto problems = std::move(result.problems);
+  if (!files.upgrade.empty())
+    for (auto& problem : upgrade::load_upgrade_settings(files.upgrade, out.upgrade))
+      problems.push_back(std::move(problem));
+  for (const auto& problem : problems) std::cerr << problem << "\n";
+  return problems.empty();
 }
 
-int check(const std::string& file) {
+int check(const Files& files) {
   Settings s;
-  if (!load(file, s)) return kExitSettings;
-  std::cout << file << ": good; node " << s.node << ", " << s.peers.size() << " peers, "
+  if (!load(files, s)) return kExitSettings;
+  std::cout << files.platform << ": good; node " << s.node << ", " << s.peers.size() << " peers, "
             << s.teams.size() << " teams in " << s.parts << " parts\n";
+  if (s.upgrade.enabled)
+    std::cout << files.upgrade << ": good; versions " << upgrade::to_string(s.upgrade.range)
+              << ", automatic steps " << (s.upgrade.automatic ? "on" : "off") << "\n";
   return 0;
 }
 
-int serve(const std::string& file) {
+int serve(const Files& files) {
   Settings s;
-  if (!load(file, s)) return kExitSettings;
+  if (!load(files, s)) return kExitSettings;
   set_up_log(s.node);
   std::signal(SIGPIPE, SIG_IGN);
   net::Loop loop(s);
@@ -77,11 +102,16 @@
       "machine when its report shows free room."};
   app.set_version_flag("--version", std::string("eiderreel ") + EIDERREEL_VERSION);
   app.require_subcommand(1);
-  std::string config;
+  Files files;
   auto* serve_cmd = app.add_subcommand("serve", "run a controller until it is killed");
-  serve_cmd->add_option("--config", config, "the platform's settings file (TOML)")->required();
+  serve_cmd->add_option("--config", files.platform, "the platform's settings file (TOML)")
+      ->required();
   auto* check_cmd = app.add_subcommand("check", "check a settings file and say what is wrong");
-  check_cmd->add_option("--config", config, "the platform's settings file (TOML)")->required();
+  check_cmd->add_option("--config", files.platform, "the platform's settings file (TOML)")
+      ->required();
+  for (auto* command : {serve_cmd, check_cmd})
+    command->add_option("--upgrade", files.upgrade, "the operators' upgrade file (TOML)");
+  cli::UpgradeCommands upgrade_commands(app);
   auto* status_cmd = app.add_subcommand("status", "show what a running controller says of itself");
   std::string addr;
   bool json = false;
@@ -93,7 +123,8 @@
     const int code = app.exit(e);
     return code == 0 ? 0 : kExitSettings;
   }
-  if (*check_cmd) return check(config);
+  if (*check_cmd) return check(files);
+  if (upgrade_commands.asked()) return upgrade_commands.run();
   if (*status_cmd) return cli::status(addr, json);
-  return serve(config);
+  return serve(files);
 }
--- a/src/cli/status.cc
+++ b/src/cli/status.cc
@@ -48,6 +48,9 @@
   std::cout << fmt::format("node {}  {}  open jobs {}  machines {}\n\n", d["node"].GetString(),
                            d["ready"].GetBool() ? "ready" : "not ready", d["open_jobs"].GetUint64(),
                            d["machines"].GetUint64());
+  if (d.HasMember("stands_aside") && d["stands_aside"].IsString() &&
+      d["stands_aside"].GetStringLength() > 0)
+    std::cout << "stands aside: " << d["stands_aside"].GetString() << "\n\n";
   const char* const columns[] = {"part",         "owner",         "term",       "jobs",
                                  "queued_tasks", "running_tasks", "total_cpus", "used_cpus",
                                  "waiting_cpus", "idle_machines"};
--- a/src/codec/json.h
+++ b/src/codec/json.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/types.h"
+#include "upgrade/cluster_version.h"
 
 namespace eiderreel::codec {
 
@@ -62,9 +63,20 @@
   std::string boot;
   std::uint64_t grant = 0;
   std::uint64_t features = 0;  // see constants::kFeatures; 0: a build from before there were any
+  // Nothing: a build from before cluster versions, or one that takes no part in them.
+  std::optional<upgrade::BuildVersions> versions = std::nullopt;
 };
 struct DoneRecord {
   std::vector<std::uint32_t> tasks;
+  upgrade::ProgressForm form = upgrade::ProgressForm::bits;
+};
+// The durable cluster version, and the step that led to it.
+struct VersionRecord {
+  upgrade::ClusterVersion version = upgrade::kFirstVersion;
+  upgrade::ClusterVersion from = upgrade::kFirstVersion;
+  Ms at = 0;            // time of day
+  std::string who;      // asked for the step
+  std::string request;  // its name, chosen by who asked
 };
 // Prerequisites of a job that names more than fit into its record.
 struct PrerequisitePart {
@@ -74,6 +86,7 @@
 // several.
 struct TaskRange {
   std::uint32_t first = 0, count = 0;
+  bool whole = false;  // all tasks of the job, however many; compact progress only
   bool operator<(const TaskRange& other) const { return first < other.first; }
 };
 // The range that holds a task, for values of at most so many bytes.
@@ -86,8 +99,10 @@
 std::string encode_spread(const JobSpec& r, std::size_t parts, const std::string& nonce);
 std::string encode(const PrerequisitePart& r, const std::string& nonce);
 std::string encode_final(JobPhase p, Ms at, const std::string& nonce);
-std::string encode_done(const std::vector<std::uint32_t>& tasks, TaskRange range,
-                        const std::string& nonce);
+// `tasks` in ascending order.
+std::string encode_done(const std::vector<std::uint32_t>& tasks, const TaskRange& range,
+                        upgrade::ProgressForm form, const std::string& nonce);
+std::string encode(const VersionRecord& r, const std::string& nonce);
 
 struct StateRow {
   std::string key;
@@ -104,6 +119,8 @@
   std::optional<JobPhase> final_phase;
   std::optional<Ms> final_at;  // time of day; earlier builds did not write it
   std::optional<DoneRecord> done;
+  std::optional<VersionRecord> version;
+  std::string text;  // the value as it is, of keys that another codec reads
 
   bool has_prerequisites() const {
     return prerequisite_parts > 0 || (job && !job->prerequisites.empty());
@@ -137,13 +154,16 @@
 std::string grant_body(Ms life);
 
 // Keys. All under `e/` is followed by every node; `d/` (done tasks) is read at take-over only.
+std::string version_key();
+std::string version_prefix();       // followed where cluster versions are enabled
+std::string all_progress_prefix();  // of every partition
 std::string part_key(int part);
 std::string machine_key(const std::string& id);
 std::string node_key(const std::string& name);
 std::string job_key(const std::string& id);
 std::string final_key(const std::string& id);
 std::string done_prefix(int part);
-std::string done_key(int part, const std::string& id, TaskRange range);
+std::string done_key(int part, const std::string& id, const TaskRange& range);
 // The last key that comes before the final record of this job.
 std::string before_final_key(const std::string& id);
 // Where the prerequisites of a job are kept that do not fit into its record; the nonce is the
--- a/src/codec/mesh.capnp
+++ b/src/codec/mesh.capnp
@@ -37,6 +37,14 @@
   changes @2 :Float64;
   hears @3 :Bool = true;          # whether the sender hears of workers
   features @4 :UInt64;            # of the sender's build; 0: from before there were any
+  conversion @5 :Conversion;      # null: the sender takes no part in cluster versions
+}
+
+struct Conversion {               # of stored progress, in the sender's parts
+  valuesLeft @0 :UInt64;
+  valuesConverted @1 :UInt64;
+  unreadable @2 :UInt64;
+  valuesPerS @3 :Float64;
 }
 
 struct Need {
--- a/src/codec/mesh.cc
+++ b/src/codec/mesh.cc
@@ -42,6 +42,13 @@
     status.setChanges(m.use.changes);
     status.setHears(m.hears);
     status.setFeatures(m.features);
+    if (m.conversion) {
+      auto conversion = status.initConversion();
+      conversion.setValuesLeft(m.conversion->values_left);
+      conversion.setValuesConverted(m.conversion->values_converted);
+      conversion.setUnreadable(m.conversion->unreadable);
+      conversion.setValuesPerS(m.conversion->values_per_s);
+    }
     auto list = status.initParts(static_cast<unsigned>(m.parts.size()));
     for (unsigned i = 0; i < m.parts.size(); ++i) {
       const auto& [part, n] = m.parts[i];
@@ -115,6 +122,11 @@
   s.use = {r.getRequests(), r.getChanges()};
   s.hears = r.getHears();
   s.features = r.getFeatures();
+  if (r.hasConversion()) {
+    const auto c = r.getConversion();
+    s.conversion = ConversionProgress{c.getValuesLeft(), c.getValuesConverted(), c.getUnreadable(),
+                                      c.getValuesPerS()};
+  }
   for (auto b : r.getParts()) {
     PartNeed n;
     n.waiting_cpus = b.getWaitingCpus();
--- a/src/codec/mesh.h
+++ b/src/codec/mesh.h
@@ -24,6 +24,8 @@
   BudgetUse use;               // of the state service by the sender
   bool hears = true;           // whether it hears of workers
   std::uint64_t features = 0;  // of the sender's build, see constants::kFeatures
+  // Nothing: the sender takes no part in cluster versions.
+  std::optional<ConversionProgress> conversion = std::nullopt;
 };
 struct Move {
   int part = 0, to = -1;
--- a/src/codec/state_json.cc
+++ b/src/codec/state_json.cc
@@ -1,6 +1,10 @@
 // Keys and values kept in the state service, and its requests and answers.
+#include <algorithm>
+#include <limits>
+
 #include "codec/json.h"
 #include "codec/json_fields.h"
+#include "codec/progress_form.h"
 
 namespace eiderreel::codec {
 
@@ -8,33 +12,19 @@
 
 namespace {
 
+using upgrade::ProgressForm;
+
 constexpr char kNestedJob[] = "job";
 constexpr char kPrerequisiteParts[] = "awaits_parts";
+constexpr std::uint64_t kCompactForm = 2;  // bits have no number, as earlier builds wrote none
+constexpr char kWholeJob[] = "all";        // in place of a range, the value tells of all tasks
+constexpr char kHistory[] = "u/history/";  // see upgrade_json.cc
+const std::string kVersionKey = "e/upgrade/version";
 
-// Runs of indexes as [first, length] pairs would be short for most jobs and long for a few; bits
-// have one size. base64 keeps 4 KiB of them within the value limit.
-constexpr std::uint32_t kBitsPerDigit = 6;
-const char kDigits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
-
-std::string pack_bits(const std::vector<std::uint32_t>& tasks, std::uint32_t from) {
-  std::uint32_t top = 0;
-  for (auto t : tasks) top = std::max(top, t - from + 1);
-  std::string out((top + 5) / 6, '\0');
-  for (auto t : tasks) out[(t - from) / 6] |= static_cast<char>(1 << ((t - from) % 6));
-  for (auto& c : out) c = kDigits[static_cast<int>(c)];
-  return out;
-}
-
-std::vector<std::uint32_t> unpack_bits(const std::string& s, std::uint32_t from) {
-  static const std::string digits(kDigits);
-  std::vector<std::uint32_t> out;
-  for (std::size_t i = 0; i < s.size() && i * 6 < constants::kDoneChunk; ++i) {
-    auto v = digits.find(s[i]);
-    if (v == std::string::npos) continue;
-    for (int b = 0; b < 6; ++b)
-      if (v & (1u << b)) out.push_back(from + static_cast<std::uint32_t>(i) * 6 + b);
-  }
-  return out;
+// A number that no version has stands for one that is too high for any build.
+upgrade::ClusterVersion cluster_version(std::uint64_t number) {
+  return static_cast<upgrade::ClusterVersion>(
+      std::min<std::uint64_t>(number, std::numeric_limits<std::uint32_t>::max()));
 }
 
 // The record of a job without prerequisites is the job; one with prerequisites holds it.
@@ -50,16 +40,65 @@
   r.job = std::move(spec);
 }
 
-// Earlier builds write whole chunks and name them by number.
-void read_progress(const Value& v, StateRow& r) {
-  std::string bits;
+// The first task that a value of progress tells of. Earlier builds write whole chunks and name them
+// by number.
+std::optional<std::uint32_t> first_task(const Value& v) {
   std::uint64_t chunk = 0, first = 0;
-  if (!get(v, "bits", bits)) return;
-  if (get(v, "chunk", chunk))
+  if (get(v, "chunk", chunk) && chunk < constants::kTasksMax)
     first = chunk * constants::kDoneChunk;
   else if (!get(v, "first", first))
-    return;
-  r.done = DoneRecord{unpack_bits(bits, static_cast<std::uint32_t>(first))};
+    return std::nullopt;
+  if (first >= constants::kTasksMax) return std::nullopt;
+  return static_cast<std::uint32_t>(first);
+}
+
+// A compact value holds a Roaring bitmap, or bits where these are shorter.
+void read_progress(const Value& v, StateRow& r) {
+  const auto first = first_task(v);
+  if (!first) return;
+  std::uint64_t form = 0;
+  DoneRecord done;
+  if (get(v, "form", form)) {
+    if (form != kCompactForm) return;
+    done.form = ProgressForm::compact;
+  }
+  std::string text;
+  if (get(v, "bits", text)) {
+    done.tasks = unpack_bits(text, *first);
+  } else {
+    if (done.form != ProgressForm::compact || !get(v, "roaring", text)) return;
+    auto tasks = unpack_roaring(text, *first);
+    if (!tasks) return;
+    done.tasks = std::move(*tasks);
+  }
+  r.done = std::move(done);
+}
+
+void read_node(const Value& v, StateRow& r) {
+  NodeRecord n;
+  get(v, "features", n.features);
+  if (!get(v, "boot", n.boot) || !get(v, "grant", n.grant)) return;
+  std::uint64_t oldest = 0, newest = 0, acting = 0;
+  if (get(v, "oldest", oldest) && get(v, "newest", newest) && get(v, "acting", acting)) {
+    upgrade::BuildVersions versions;
+    versions.range = {cluster_version(oldest), cluster_version(newest)};
+    versions.acting = cluster_version(acting);
+    get(v, "build", versions.build);
+    n.versions = std::move(versions);
+  }
+  r.node = std::move(n);
+}
+
+void read_version(const Value& v, StateRow& r) {
+  VersionRecord record;
+  std::uint64_t version = 0, from = 0, at = 0;
+  if (!get(v, "version", version) || version == 0) return;
+  record.version = cluster_version(version);
+  if (get(v, "from", from)) record.from = cluster_version(from);
+  if (get(v, "at_ms", at)) record.at = static_cast<Ms>(at);
+  get(v, "who", record.who);
+  get(v, "request", record.request);
+  r.version = std::move(record);
 }
 
 // Guard: a build that knows no prerequisites would start the job at once. It finds none of the
@@ -86,9 +125,7 @@
       r.machine = m;
     }
   } else if (starts_with(r.key, "e/node/")) {
-    NodeRecord n;
-    get(v, "features", n.features);
-    if (get(v, "boot", n.boot) && get(v, "grant", n.grant)) r.node = n;
+    read_node(v, r);
   } else if (starts_with(r.key, "e/job/")) {
     read_job(v, r);
   } else if (starts_with(r.key, "e/awaits/")) {
@@ -101,6 +138,13 @@
     if (get(v, "at_ms", at)) r.final_at = static_cast<Ms>(at);
   } else if (starts_with(r.key, "d/")) {
     read_progress(v, r);
+  } else if (r.key == kVersionKey) {
+    read_version(v, r);
+  } else if (starts_with(r.key, kHistory)) {
+    Buffer buffer;
+    Writer writer(buffer);
+    v.Accept(writer);
+    r.text.assign(buffer.GetString(), buffer.GetSize());
   }
 }
 
@@ -156,6 +200,11 @@
     put(w, "boot", r.boot);
     put(w, "grant", r.grant);
     if (r.features > 0) put(w, "features", r.features);
+    if (!r.versions) return;
+    put(w, "oldest", std::uint64_t{upgrade::number(r.versions->range.oldest)});
+    put(w, "newest", std::uint64_t{upgrade::number(r.versions->range.newest)});
+    put(w, "acting", std::uint64_t{upgrade::number(r.versions->acting)});
+    put(w, "build", r.versions->build);
   });
 }
 std::string encode(const JobSpec& r, const std::string& nonce) {
@@ -186,15 +235,35 @@
     put(w, "at_ms", static_cast<std::uint64_t>(at));
   });
 }
-std::string encode_done(const std::vector<std::uint32_t>& tasks, TaskRange range,
-                        const std::string& nonce) {
+std::string encode(const VersionRecord& r, const std::string& nonce) {
   return object([&](Writer& w) {
     put(w, "n", nonce);
-    if (range.count == constants::kDoneChunk)
+    put(w, "version", std::uint64_t{upgrade::number(r.version)});
+    put(w, "from", std::uint64_t{upgrade::number(r.from)});
+    put(w, "at_ms", static_cast<std::uint64_t>(r.at));
+    put(w, "who", r.who);
+    put(w, "request", r.request);
+  });
+}
+
+std::string encode_done(const std::vector<std::uint32_t>& tasks, const TaskRange& range,
+                        ProgressForm form, const std::string& nonce) {
+  return object([&](Writer& w) {
+    put(w, "n", nonce);
+    if (!range.whole && range.count == constants::kDoneChunk)
       put(w, "chunk", std::uint64_t{range.first / constants::kDoneChunk});
     else
       put(w, "first", std::uint64_t{range.first});
-    put(w, "bits", pack_bits(tasks, range.first));
+    if (form == ProgressForm::bits) return put(w, "bits", pack_bits(tasks, range.first));
+    put(w, "form", kCompactForm);
+    // Bits are read up to a chunk; the many short arrays are shorter in bits.
+    std::string roaring = pack_roaring(tasks, range.first);
+    const std::uint32_t last = tasks.empty() ? range.first : tasks.back();
+    const std::uint32_t span = last - range.first + 1;
+    if (span <= constants::kDoneChunk && packed_size(span) <= roaring.size())
+      put(w, "bits", pack_bits(tasks, range.first));
+    else
+      put(w, "roaring", roaring);
   });
 }
 
@@ -203,7 +272,7 @@
   const std::uint32_t largest = std::min(tasks, constants::kDoneChunk);
   const std::size_t digits = value_bytes - std::min(value_bytes, constants::kProgressOverhead);
   std::uint32_t count = constants::kDoneChunk;
-  if ((largest + kBitsPerDigit - 1) / kBitsPerDigit > digits)
+  if (packed_size(largest) > digits)
     count =
         std::max<std::uint32_t>(static_cast<std::uint32_t>(digits) * kBitsPerDigit, kBitsPerDigit);
   return {task / count * count, count};
@@ -283,14 +352,18 @@
   return object([&](Writer& w) { put(w, "life_ms", static_cast<std::uint64_t>(life)); });
 }
 
+std::string version_key() { return kVersionKey; }
+std::string version_prefix() { return "e/upgrade/"; }
+std::string all_progress_prefix() { return "d/"; }
 std::string part_key(int part) { return "e/part/" + std::to_string(part); }
 std::string machine_key(const std::string& id) { return "e/machine/" + id; }
 std::string node_key(const std::string& name) { return "e/node/" + name; }
 std::string job_key(const std::string& id) { return "e/job/" + id; }
 std::string final_key(const std::string& id) { return "e/final/" + id; }
 std::string done_prefix(int part) { return "d/" + std::to_string(part) + "/"; }
-std::string done_key(int part, const std::string& id, TaskRange range) {
-  const std::string name = range.count == constants::kDoneChunk
+std::string done_key(int part, const std::string& id, const TaskRange& range) {
+  const std::string name = range.whole ? kWholeJob
+                           : range.count == constants::kDoneChunk
                                ? std::to_string(range.first / constants::kDoneChunk)
                                : "p" + std::to_string(range.first);
   return done_prefix(part) + id + "/" + name;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -92,6 +92,14 @@
   double requests = 0, changes = 0;
 };
 
+// How far the conversion of stored progress has come in the partitions of a controller.
+struct ConversionProgress {
+  std::uint64_t values_left = 0;       // in the form that is to go
+  std::uint64_t values_converted = 0;  // by this process
+  std::uint64_t unreadable = 0;        // in neither form; left as they are
+  double values_per_s = 0;
+};
+
 // The type of that name; null: the catalog has none.
 inline const MachineType* find_type(const std::vector<MachineType>& types,
                                     const std::string& name) {
--- /dev/null
+++ b/src/upgrade/acting_version.cc
@@ -0,0 +1,15 @@
+#include "upgrade/acting_version.h"
+
+namespace eiderreel::upgrade {
+
+std::string ActingVersion::obstacle(const ClusterState& cluster) const {
+  if (!enabled_) return "";
+  // A controller that acts goes on: no step is taken from a version that nobody can read.
+  if (!cluster.version)
+    return record_revision_ != 0 ? "" : "the cluster version in the state service cannot be read";
+  if (range_.contains(*cluster.version)) return "";
+  return "the cluster is at version " + to_string(*cluster.version) + ", this build knows " +
+         to_string(range_);
+}
+
+}  // namespace eiderreel::upgrade
--- /dev/null
+++ b/src/upgrade/conversion_pace.cc
@@ -0,0 +1,19 @@
+#include "upgrade/conversion_pace.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace eiderreel::upgrade {
+
+namespace k = constants;
+
+bool ConversionPace::allows(Ms now) {
+  const double elapsed_ms = refilled_at_ == 0 ? 0 : static_cast<double>(now - refilled_at_);
+  refilled_at_ = now;
+  const double most = std::max(1.0, changes_per_s_ * k::kConversionBurst);
+  tokens_ = std::min(most, tokens_ + elapsed_ms / 1000 * changes_per_s_);
+  recent_ *= std::exp(-elapsed_ms / k::kConversionRateMs);
+  return tokens_ >= 1;
+}
+
+}  // namespace eiderreel::upgrade
--- /dev/null
+++ b/src/upgrade/maintenance_window.cc
@@ -0,0 +1,72 @@
+#include "upgrade/maintenance_window.h"
+
+#include <date/date.h>
+#include <date/tz.h>
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace eiderreel::upgrade {
+namespace {
+
+using Moment = date::sys_time<std::chrono::milliseconds>;
+
+constexpr std::array<const char*, 7> kWeekdays = {"sun", "mon", "tue", "wed", "thu", "fri", "sat"};
+constexpr std::chrono::minutes kDay{24 * 60};
+
+bool is_digit(char c) { return c >= '0' && c <= '9'; }
+
+Moment moment_of(const date::time_zone& zone, date::local_days day, TimeOfDay time) {
+  return zone.to_sys(day + time.since_midnight, date::choose::earliest);
+}
+
+// Whether the window that begins on this local day holds the moment.
+bool begun_on(const MaintenanceWindow& window, const date::time_zone& zone, date::local_days day,
+              Moment moment) {
+  if (!window.days[date::weekday(day).c_encoding()]) return false;
+  const bool over_midnight = window.to.since_midnight <= window.from.since_midnight;
+  const date::local_days last_day = day + date::days(over_midnight ? 1 : 0);
+  return moment_of(zone, day, window.from) <= moment &&
+         moment < moment_of(zone, last_day, window.to);
+}
+
+}  // namespace
+
+std::optional<TimeOfDay> parse_time_of_day(const std::string& text) {
+  const bool form = text.size() == 5 && text[2] == ':' && is_digit(text[0]) && is_digit(text[1]) &&
+                    is_digit(text[3]) && is_digit(text[4]);
+  if (!form) return std::nullopt;
+  const int hours = std::stoi(text.substr(0, 2));
+  const int minutes = std::stoi(text.substr(3, 2));
+  const std::chrono::minutes since_midnight =
+      std::chrono::hours(hours) + std::chrono::minutes(minutes);
+  if (minutes > 59 || since_midnight > kDay) return std::nullopt;
+  return TimeOfDay{since_midnight};
+}
+
+std::optional<unsigned> parse_weekday(const std::string& text) {
+  const auto found = std::find(kWeekdays.begin(), kWeekdays.end(), text);
+  if (found == kWeekdays.end()) return std::nullopt;
+  return static_cast<unsigned>(found - kWeekdays.begin());
+}
+
+bool is_time_zone(const std::string& name) {
+  try {
+    return date::locate_zone(name) != nullptr;
+  } catch (const std::runtime_error&) {
+    return false;
+  }
+}
+
+bool MaintenanceWindows::contains(Ms wall) const {
+  if (windows_.empty()) return false;
+  const date::time_zone& zone = *date::locate_zone(time_zone_);
+  const Moment moment{std::chrono::milliseconds(wall)};
+  const auto today = date::floor<date::days>(zone.to_local(moment));
+  return std::any_of(windows_.begin(), windows_.end(), [&](const MaintenanceWindow& window) {
+    return begun_on(window, zone, today, moment) ||
+           begun_on(window, zone, today - date::days(1), moment);
+  });
+}
+
+}  // namespace eiderreel::upgrade
--- /dev/null
+++ b/src/upgrade/progress_plan.cc
@@ -0,0 +1,119 @@
+#include "upgrade/progress_plan.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+
+namespace eiderreel::upgrade {
+namespace {
+
+using codec::TaskRange;
+
+bool is_unreadable(const ProgressOfJob& job, const std::string& key) {
+  const auto stored = job.stored.find(key);
+  return stored != job.stored.end() && stored->second.unreadable;
+}
+
+std::string key_of(const ProgressOfJob& job, const TaskRange& range) {
+  return codec::done_key(job.part, job.id, range);
+}
+
+ProgressValue value_of(const ProgressOfJob& job, const TaskRange& range, ProgressForm form,
+                       const std::string& nonce) {
+  const auto done = job.done(range.first, range.count);
+  return {key_of(job, range), codec::encode_done(done, range, form, nonce), form};
+}
+
+// The one value for all tasks, where the job may have it and it fits.
+std::optional<ProgressValue> whole_value(const ProgressOfJob& job, ProgressForm form,
+                                         const std::string& nonce) {
+  const TaskRange first_range = codec::progress_range(0, job.tasks, job.value_bytes);
+  if (form != ProgressForm::compact || first_range.count >= job.tasks) return std::nullopt;
+  const TaskRange whole{0, job.tasks, true};
+  if (is_unreadable(job, key_of(job, whole))) return std::nullopt;
+  ProgressValue value = value_of(job, whole, form, nonce);
+  if (value.value.size() > job.value_bytes) return std::nullopt;
+  return value;
+}
+
+// The values that together hold all done tasks in this form, as far as they may be written.
+std::vector<ProgressValue> all_values(const ProgressOfJob& job, ProgressForm form,
+                                      const std::string& nonce) {
+  if (auto whole = whole_value(job, form, nonce)) return {std::move(*whole)};
+  std::vector<ProgressValue> values;
+  for (std::uint32_t first = 0; first < job.tasks;) {
+    const TaskRange range = codec::progress_range(first, job.tasks, job.value_bytes);
+    const bool any_done = !job.done(range.first, range.count).empty();
+    if (any_done && !is_unreadable(job, key_of(job, range)))
+      values.push_back(value_of(job, range, form, nonce));
+    first = range.first + range.count;
+  }
+  return values;
+}
+
+bool is_stored_as(const StoredValues& stored, const ProgressValue& value) {
+  const auto found = stored.find(value.key);
+  return found != stored.end() && found->second.form == value.form;
+}
+
+}  // namespace
+
+StoredProgress stored_progress(const codec::StateRow& row) {
+  StoredProgress stored;
+  stored.revision = row.revision;
+  if (row.done) stored.form = row.done->form;
+  stored.unreadable = row.revision != 0 && !row.done;
+  return stored;
+}
+
+ProgressBatch batch_to_record(const ProgressOfJob& job, const std::vector<std::uint32_t>& tasks,
+                              ProgressForm form, std::size_t most, const std::string& nonce) {
+  ProgressBatch batch;
+  if (tasks.empty()) return batch;
+  if (auto whole = whole_value(job, form, nonce)) {
+    batch.writes.push_back(std::move(*whole));
+    batch.recorded = tasks;
+    return batch;
+  }
+  std::set<TaskRange> ranges;
+  for (const std::uint32_t task : tasks) {
+    const TaskRange range = codec::progress_range(task, job.tasks, job.value_bytes);
+    if (is_unreadable(job, key_of(job, range))) continue;
+    if (ranges.size() == most && !ranges.count(range)) break;
+    ranges.insert(range);
+    batch.recorded.push_back(task);
+  }
+  for (const TaskRange& range : ranges) batch.writes.push_back(value_of(job, range, form, nonce));
+  return batch;
+}
+
+ProgressBatch batch_to_convert(const ProgressOfJob& job, ProgressForm to, std::size_t most,
+                               const std::string& nonce) {
+  ProgressBatch batch;
+  if (values_to_convert(job.stored, to) == 0) return batch;
+  std::set<std::string> kept;
+  bool all_written = true;
+  for (ProgressValue& value : all_values(job, to, nonce)) {
+    kept.insert(value.key);
+    if (is_stored_as(job.stored, value)) continue;
+    if (batch.writes.size() < most)
+      batch.writes.push_back(std::move(value));
+    else
+      all_written = false;
+  }
+  // What goes is in other values by then, or with the same commit.
+  if (!all_written) return batch;
+  for (const auto& [key, stored] : job.stored) {
+    if (batch.writes.size() + batch.deletes.size() == most) break;
+    if (!stored.unreadable && stored.form != to && !kept.count(key)) batch.deletes.push_back(key);
+  }
+  return batch;
+}
+
+std::size_t values_to_convert(const StoredValues& stored, ProgressForm to) {
+  return static_cast<std::size_t>(std::count_if(
+      stored.begin(), stored.end(),
+      [&](const auto& entry) { return !entry.second.unreadable && entry.second.form != to; }));
+}
+
+}  // namespace eiderreel::upgrade
--- /dev/null
+++ b/src/upgrade/progress_plan.h
@@ -0,0 +1,65 @@
+// Which values hold the progress of an array, and which of them a commit should write: to record
+// tasks that have ended, or to convert what is stored in another form. Pure: no I/O.
+//
+// A job's tasks are laid out in ranges, each with a value of its own. In the compact form a job of
+// several ranges has one value for all of its tasks, as long as that fits. Values may overlap: done
+// is done for ever, so what is stored is the union of all values, and each is only ever replaced by
+// one that holds at least as much of its range.
+#pragma once
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "codec/json.h"
+#include "upgrade/cluster_version.h"
+
+namespace eiderreel::upgrade {
+
+struct StoredProgress {
+  std::uint64_t revision = 0;
+  ProgressForm form = ProgressForm::bits;
+  bool unreadable = false;  // in neither form: never written, converted or deleted by its owner
+};
+using StoredValues = std::map<std::string, StoredProgress>;  // by key
+
+// What a row of the state service holds; one that is not there has revision 0.
+StoredProgress stored_progress(const codec::StateRow& row);
+
+// The job whose progress is stored.
+struct ProgressOfJob {
+  int part = 0;
+  std::string id;
+  std::uint32_t tasks = 0;
+  std::size_t value_bytes = 0;  // the largest value that the state service takes
+  // Of so many tasks from the first one on, those that are done.
+  std::function<std::vector<std::uint32_t>(std::uint32_t first, std::uint32_t count)> done;
+  const StoredValues& stored;
+};
+
+struct ProgressValue {
+  std::string key, value;
+  ProgressForm form = ProgressForm::bits;
+};
+
+struct ProgressBatch {
+  std::vector<ProgressValue> writes;
+  std::vector<std::string> deletes;     // keys
+  std::vector<std::uint32_t> recorded;  // of the tasks that were to be recorded, those in `writes`
+
+  bool empty() const { return writes.empty() && deletes.empty(); }
+};
+
+// Values that record these tasks, at most so many; the rest is left for the next batch.
+ProgressBatch batch_to_record(const ProgressOfJob& job, const std::vector<std::uint32_t>& tasks,
+                              ProgressForm form, std::size_t most, const std::string& nonce);
+
+// The next values to write and to delete so that none in another form is left.
+ProgressBatch batch_to_convert(const ProgressOfJob& job, ProgressForm to, std::size_t most,
+                               const std::string& nonce);
+
+// How many readable values are in another form.
+std::size_t values_to_convert(const StoredValues& stored, ProgressForm to);
+
+}  // namespace eiderreel::upgrade
--- /dev/null
+++ b/src/upgrade/upgrade_settings.cc
@@ -0,0 +1,102 @@
+#include "upgrade/upgrade_settings.h"
+
+#include <optional>
+
+#include "actors/toml_reader.h"
+
+namespace eiderreel::upgrade {
+namespace {
+
+constexpr double kLeastShare = 0.001;  // of the changes; with less a conversion would never end
+constexpr double kMostShare = 0.5;     // the rest is for the work itself
+
+void read_newest_version(TomlReader& reader, const toml::table& table, VersionRange& range) {
+  if (!table.contains("newest_version")) return;
+  int newest = static_cast<int>(number(range.newest));
+  reader.whole(table, "upgrade.", "newest_version", static_cast<int>(number(range.oldest)),
+               static_cast<int>(number(range.newest)), newest);
+  range.newest = static_cast<ClusterVersion>(newest);
+}
+
+void read_days(TomlReader& reader, const toml::table& table, const std::string& path,
+               MaintenanceWindow& window) {
+  const auto* days = table.get_as<toml::array>("days");
+  if (!days || days->empty()) return reader.problem(path + "days", "must be a list of weekdays");
+  for (const auto& day : *days) {
+    const auto weekday = parse_weekday(day.value_or(std::string()));
+    if (!weekday)
+      return reader.problem(path + "days", "must be of mon, tue, wed, thu, fri, sat, sun");
+    window.days[*weekday] = true;
+  }
+}
+
+void read_time(TomlReader& reader, const toml::table& table, const std::string& path,
+               const char* name, TimeOfDay& out) {
+  const auto time = parse_time_of_day(table[name].value_or(std::string()));
+  if (!time) return reader.problem(path + name, "must be a time of day, \"HH:MM\"");
+  out = *time;
+}
+
+std::vector<MaintenanceWindow> read_windows(TomlReader& reader, const toml::table& table) {
+  std::vector<MaintenanceWindow> windows;
+  const std::string list = "upgrade.automatic.windows";
+  const auto* entries = table.get_as<toml::array>("windows");
+  if (!entries || entries->empty()) {
+    reader.problem(list, "must be a list of tables");
+    return windows;
+  }
+  for (std::size_t i = 0; i < entries->size(); ++i) {
+    const std::string path = list + "[" + std::to_string(i) + "].";
+    const auto* entry = entries->get(i)->as_table();
+    if (!entry) {
+      reader.problem(path, "must be a table");
+      continue;
+    }
+    MaintenanceWindow window;
+    read_days(reader, *entry, path, window);
+    read_time(reader, *entry, path, "from", window.from);
+    read_time(reader, *entry, path, "to", window.to);
+    windows.push_back(window);
+  }
+  return windows;
+}
+
+void read_automatic(TomlReader& reader, const toml::table& upgrade, UpgradeSettings& out) {
+  if (!upgrade.contains("automatic")) return;
+  const auto* table = reader.table(upgrade, "upgrade.", "automatic");
+  if (!table) return;
+  const std::string path = "upgrade.automatic.";
+  const auto enabled = (*table)["enabled"].value_exact<bool>();
+  if (!enabled) reader.problem(path + "enabled", "must be true or false");
+  out.automatic = enabled.value_or(false);
+  std::string time_zone;
+  reader.text(*table, path, "time_zone", time_zone);
+  if (!time_zone.empty() && !is_time_zone(time_zone))
+    reader.problem(path + "time_zone", "is no time zone of this system");
+  out.windows = MaintenanceWindows(time_zone, read_windows(reader, *table));
+}
+
+}  // namespace
+
+std::vector<std::string> load_upgrade_settings(const std::string& file, UpgradeSettings& out) {
+  std::vector<std::string> problems;
+  TomlReader reader(file, problems);
+  const toml::parse_result parsed = toml::parse_file(file);
+  if (!parsed) {
+    const auto line = parsed.error().source().begin.line;
+    reader.problem(line ? "line " + std::to_string(line) : "file",
+                   std::string(parsed.error().description()));
+    return problems;
+  }
+  const auto* table = reader.table(parsed.table(), "", "upgrade");
+  if (!table) return problems;
+  out.enabled = true;
+  read_newest_version(reader, *table, out.range);
+  if (table->contains("conversion_share"))
+    reader.number(*table, "upgrade.", "conversion_share", kLeastShare, kMostShare,
+                  out.conversion_share);
+  read_automatic(reader, *table, out);
+  return problems;
+}
+
+}  // namespace eiderreel::upgrade
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -98,8 +98,8 @@
   std::vector<std::uint32_t> tasks;
   for (std::uint32_t i = constants::kDoneChunk; i < 2 * constants::kDoneChunk; ++i)
     if (i % 3) tasks.push_back(i);
-  const std::string value =
-      codec::encode_done(tasks, {constants::kDoneChunk, constants::kDoneChunk}, "n");
+  const std::string value = codec::encode_done(
+      tasks, {constants::kDoneChunk, constants::kDoneChunk}, upgrade::ProgressForm::bits, "n");
   EXPECT_LT(value.size(), 8192u);
   auto row = codec::parse_row(codec::stored_row("d/0/run-1/1", value, 9));
   ASSERT_TRUE(row && row->done);
--- a/tests/compatibility_test.cc
+++ b/tests/compatibility_test.cc
@@ -67,11 +67,13 @@
 
 // The fields that the earlier build asks for are there, whatever else is.
 TEST(NewValues, HoldAllThatTheEarlierBuildReads) {
-  const std::string node = codec::encode(codec::NodeRecord{"b1", 9, 1}, "n0.b1.7");
+  const std::string node = codec::encode(codec::NodeRecord{"b1", 9, 1, {}}, "n0.b1.7");
   EXPECT_EQ(node, R"({"n":"n0.b1.7","boot":"b1","grant":9,"features":1})");
   EXPECT_EQ(codec::encode_final(JobPhase::done, 1764668592000, "n0.b1.7"),
             R"({"n":"n0.b1.7","phase":"done","at_ms":1764668592000})");
-  EXPECT_EQ(codec::encode_done({32768, 32770, 32779}, {32768, 32768}, "n0.b1.7"), kOldProgress);
+  EXPECT_EQ(codec::encode_done({32768, 32770, 32779}, {32768, 32768}, upgrade::ProgressForm::bits,
+                               "n0.b1.7"),
+            kOldProgress);
   EXPECT_EQ(codec::done_key(2, "run-1", {32768, 32768}), "d/2/run-1/1");
 }
 
@@ -114,7 +116,8 @@
         std::vector<std::uint32_t> all;
         for (std::uint32_t i = first; i < std::min(tasks, first + range.count); ++i)
           all.push_back(i);
-        const auto value = codec::encode_done(all, range, "reelhost-0.0123456789abcdef.1234567");
+        const auto value = codec::encode_done(all, range, upgrade::ProgressForm::bits,
+                                              "reelhost-0.0123456789abcdef.1234567");
         EXPECT_LE(value.size(), value_bytes);
         const auto row = read(codec::done_key(0, "run-1", range), value);
         ASSERT_TRUE(row.done);
--- a/tests/standin/checker.h
+++ b/tests/standin/checker.h
@@ -29,6 +29,8 @@
   void answered_without_lease(double t, const std::string& what) {
     broke(t, "answered_without_lease", what);
   }
+  // A rule of cluster versions.
+  void version_rule(double t, const std::string& what) { broke(t, "cluster_version", what); }
   // From now on every job must be answered for.
   void troubles_over(double t) { over_at_ = t; }
   // Whether a machine that fits has room for a waiting task of the job, and its team is under its
--- a/tests/standin/old_build.h
+++ b/tests/standin/old_build.h
@@ -27,14 +27,18 @@
 inline std::string as_old_build_reads(const std::string& body) {
   std::string text = replace_all(body, "\"job\":{", "\"unread\":{");
   text = replace_all(text, "\"awaits\":[", "\"unread_list\":[");
-  return replace_all(text, "\"first\":", "\"unread_first\":");
+  text = replace_all(text, "\"first\":", "\"unread_first\":");
+  return replace_all(text, "\"roaring\":", "\"unread_roaring\":");
 }
 
 // Its messages to its peers.
 inline std::string as_old_build_sends(const std::string& bytes) {
   auto message = mesh::decode(bytes);
   if (!message) return bytes;
-  if (auto* status = std::get_if<mesh::Status>(&message->body)) status->features = 0;
+  if (auto* status = std::get_if<mesh::Status>(&message->body)) {
+    status->features = 0;
+    status->conversion.reset();
+  }
   return mesh::encode(*message);
 }
 
--- a/tests/standin/state_service.cc
+++ b/tests/standin/state_service.cc
@@ -50,6 +50,19 @@
       rows_.begin(), rows_.end(), [&](const auto& row) { return has_prefix(row.first, prefix); }));
 }
 
+std::vector<std::string> StateService::keys(const std::string& prefix) const {
+  std::vector<std::string> out;
+  for (const auto& [key, row] : rows_)
+    if (has_prefix(key, prefix)) out.push_back(key);
+  return out;
+}
+
+void StateService::put(const std::string& key, const std::string& value) {
+  ++revision_;
+  change(key, &value, 0);
+  wake_watches();
+}
+
 void StateService::set_limits(double value_kb, int txn_ops, double write_rps) {
   limits_.value_kb = value_kb;
   limits_.txn_ops = txn_ops;
@@ -136,6 +149,9 @@
   if (!failed.empty())
     return {409, "{\"failed\":[" + failed + "]," + revision_text(revision_) + "}"};
   ++revision_;
+  for (const auto& write : d["writes"].GetArray())
+    if (observer_.written && write.HasMember("write"))
+      observer_.written(write["write"].GetString(), json_text(write["v"]));
   for (const auto& write : d["writes"].GetArray()) {
     if (write.HasMember("delete")) {
       const std::string key = write["delete"].GetString();
@@ -147,6 +163,7 @@
     }
   }
   HttpReply reply{200, "{" + revision_text(revision_) + "}"};
+  if (observer_.changed) observer_.changed();
   wake_watches();
   return reply;
 }
--- a/tests/standin/state_service.h
+++ b/tests/standin/state_service.h
@@ -47,6 +47,15 @@
   StateService(Environment environment, Limits limits)
       : environment_(std::move(environment)), limits_(limits) {}
 
+  // Is told of every value before it is written, and of the end of each transaction.
+  struct Observer {
+    std::function<void(const std::string& key, const std::string& value)> written;
+    std::function<void()> changed;
+  };
+  void set_observer(Observer observer) { observer_ = std::move(observer); }
+  // Puts a value there that no controller has written.
+  void put(const std::string& key, const std::string& value);
+
   // A request of a controller; `done` is called once, or never where an answer is lost.
   void serve(const std::string& from, const HttpRequest& request, Done done);
   // Ends the leases that are over; to be called now and then.
@@ -55,6 +64,7 @@
   const std::string* value(const std::string& key) const;
 
   std::size_t keys_under(const std::string& prefix) const;
+  std::vector<std::string> keys(const std::string& prefix) const;
   void set_limits(double value_kb, int txn_ops, double write_rps);
   void set_outage(bool on);  // 503 for all
   void set_refused(const std::string& node, bool on);
@@ -98,6 +108,7 @@
   void wake_watches();
 
   Environment environment_;
+  Observer observer_;
   Limits limits_;
   std::map<std::string, Row> rows_;
   std::vector<Change> changes_;
--- /dev/null
+++ b/tests/standin/version_checker.h
@@ -0,0 +1,38 @@
+// The rules of cluster versions, checked on every transaction that lands at the state service.
+#pragma once
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace eiderreel::standin {
+
+class VersionChecker {
+ public:
+  using Broke = std::function<void(const std::string& what)>;
+  using Rows = std::function<const std::string*(const std::string& key)>;
+  explicit VersionChecker(Broke broke) : broke_(std::move(broke)) {}
+
+  // A process that takes part in cluster versions has started.
+  void started(const std::string& node, const std::string& boot) { boots_.insert({node, boot}); }
+  // A value has been written; `rows` looks keys up in the state as it was just before.
+  void written(const std::string& key, const std::string& value, const Rows& rows);
+  // All changes of a transaction, or the end of a lease, are done.
+  void look(const Rows& rows);
+
+  std::size_t progress_written(bool compact) const { return progress_written_[compact]; }
+  // The versions in the order in which the cluster was at them.
+  const std::vector<std::uint64_t>& versions() const { return versions_; }
+
+ private:
+  void check_writer(const std::string& key, const std::string& value, const Rows& rows);
+
+  Broke broke_;
+  std::set<std::pair<std::string, std::string>> boots_;  // node and boot
+  std::size_t progress_written_[2] = {0, 0};
+  std::vector<std::uint64_t> versions_{1};
+};
+
+}  // namespace eiderreel::standin
--- a/tests/standin/world.cc
+++ b/tests/standin/world.cc
@@ -111,6 +111,7 @@
 World::World(Options o)
     : o_(o),
       checker_(o.teams, o.cancel_s),
+      version_checker_([this](const std::string& what) { checker_.version_rule(now(), what); }),
       random_(o.seed),
       state_service_({[this] { return now_; },
                       [this](Ms t, std::function<void()> f) { schedule(t, std::move(f)); },
@@ -139,8 +140,10 @@
     s.state_value_kb = std::min(o_.value_kb, o_.next_value_kb.value_or(1e9));
     s.state_txn_ops = std::min(o_.txn_ops, o_.next_txn_ops.value_or(1 << 20));
     p.old = o_.old_nodes.count(i) > 0;
+    if (o_.upgrades && !p.old) s.upgrade = *o_.upgrades;
     procs_.push_back(std::move(p));
   }
+  if (o_.upgrades) observe_versions();
   for (int i = 0; i < o_.machines; ++i) add_worker(i % 2 ? "b" : "a", false, 0);
   for (std::size_t i = 0; i < procs_.size(); ++i)
     schedule(static_cast<Ms>(10 + 10 * i), [this, i] { start_node(i); });
@@ -293,10 +296,19 @@
 
 // ------------------------------------------------------------------------------- nodes
 
+void World::observe_versions() {
+  auto rows = [this](const std::string& key) { return state_service_.value(key); };
+  state_service_.set_observer({[this, rows](const std::string& key, const std::string& value) {
+                                 version_checker_.written(key, value, rows);
+                               },
+                               [this, rows] { version_checker_.look(rows); }});
+}
+
 void World::start_node(std::size_t i) {
   Proc& p = procs_[i];
   ++p.life;
   p.runtime = std::make_unique<NodeRuntime>(*this, i, p.life);
+  if (p.settings.upgrade.enabled) version_checker_.started(p.name, p.runtime->boot_id());
   p.node = std::make_unique<Controller>(*p.runtime, p.settings);
   p.up = true;
   sink()->node = p.name;
@@ -334,13 +346,23 @@
 }
 
 void World::upgrade(int node, double back_after_s) {
-  procs_[static_cast<std::size_t>(node)].old = false;
-  crash(node, back_after_s);
+  install(node, upgrade::kNewestVersion, back_after_s);
 }
 
 void World::downgrade(int node, double back_after_s) {
-  procs_[static_cast<std::size_t>(node)].old = true;
+  Proc& p = procs_[static_cast<std::size_t>(node)];
+  crash(node, back_after_s);
+  p.old = true;
+  p.settings.upgrade = {};
+}
+
+void World::install(int node, upgrade::ClusterVersion newest, double back_after_s) {
+  Proc& p = procs_[static_cast<std::size_t>(node)];
   crash(node, back_after_s);
+  p.old = false;
+  if (!o_.upgrades) return;
+  p.settings.upgrade = *o_.upgrades;
+  p.settings.upgrade.range.newest = newest;
 }
 
 void World::limit_state(double value_kb, int txn_ops, double write_rps) {
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -15,6 +15,7 @@
 #include "actors/controller.h"
 #include "standin/checker.h"
 #include "standin/state_service.h"
+#include "standin/version_checker.h"
 
 namespace eiderreel::standin {
 
@@ -38,6 +39,9 @@
   std::optional<int> next_txn_ops;
   std::set<int> old_nodes;           // controllers that start as the build before prerequisites
   std::size_t changes_kept = 10000;  // by the state service, for followers
+  // What the operators' upgrade file says, the same for all controllers; without one, they take no
+  // part in cluster versions.
+  std::optional<upgrade::UpgradeSettings> upgrades;
 };
 
 class World {
@@ -86,6 +90,8 @@
   // It is killed and comes back as the new build.
   void upgrade(int node, double back_after_s = 4);
   void downgrade(int node, double back_after_s = 4);  // it comes back as the earlier build
+  // It is killed and comes back as a build that knows no later version than this one.
+  void install(int node, upgrade::ClusterVersion newest, double back_after_s = 4);
   // From now on these limits are in force at the state service.
   void limit_state(double value_kb, int txn_ops, double write_rps);
   // The process stands still while its clocks run on; then all that came meanwhile is taken in.
@@ -125,6 +131,12 @@
   // Requests that were larger than the state service takes.
   std::size_t refused_too_large() const { return state_service_.counters().too_large; }
   const std::string* stored(const std::string& key) const { return state_service_.value(key); }
+  void store(const std::string& key, const std::string& value) { state_service_.put(key, value); }
+  std::vector<std::string> keys(const std::string& prefix) const {
+    return state_service_.keys(prefix);
+  }
+  const VersionChecker& versions() const { return version_checker_; }
+  bool is_up(int node) const { return procs_[static_cast<std::size_t>(node)].up; }
   std::size_t keys_under(const std::string& prefix) const {
     return state_service_.keys_under(prefix);
   }
@@ -202,6 +214,7 @@
   void look_for_room();
   void check_entitled(const Controller& node, const std::string& report);
   void start_node(std::size_t i);
+  void observe_versions();
   void when_awake(std::size_t i, std::function<void()> f);
   void tick_workers();
   void send_report(Worker& w);
@@ -225,6 +238,7 @@
 
   Options o_;
   Checker checker_;
+  VersionChecker version_checker_;
   Ms now_ = 0;
   std::uint64_t order_ = 0;
   std::map<std::pair<Ms, std::uint64_t>, std::function<void()>> events_;
--- /dev/null
+++ b/tests/upgrade/conversion_test.cc
@@ -0,0 +1,362 @@
+// Progress in its two forms: what is written, how it is converted, and what becomes of values that
+// cannot be read.
+#include <random>
+
+#include "codec/progress_form.h"
+#include "upgrade/progress_plan.h"
+#include "upgrade/upgrade_world.h"
+
+using namespace eiderreel;
+using namespace eiderreel::standin;
+using upgrade::ProgressForm;
+
+namespace {
+
+// ------------------------------------------------------------------------------- the two forms
+
+std::vector<std::uint32_t> some_tasks(std::uint32_t first, std::uint32_t count, double share,
+                                      std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  std::vector<std::uint32_t> tasks;
+  for (std::uint32_t i = first; i < first + count; ++i)
+    if (std::bernoulli_distribution(share)(random)) tasks.push_back(i);
+  return tasks;
+}
+
+codec::StateRow read(const std::string& key, const std::string& value) {
+  auto row = codec::parse_row(codec::stored_row(key, value, 9));
+  EXPECT_TRUE(row);
+  return row.value_or(codec::StateRow{});
+}
+
+TEST(CompactProgress, IsReadAsItWasWritten) {
+  for (const std::uint32_t first : {0u, 32768u}) {
+    for (const double share : {0.0, 0.001, 0.3, 0.99, 1.0}) {
+      const codec::TaskRange range{first, 32768};
+      const auto tasks = some_tasks(first, range.count, share, 7);
+      const auto value = codec::encode_done(tasks, range, ProgressForm::compact, "n0.b1.7");
+      const auto row = read(codec::done_key(0, "run-1", range), value);
+      ASSERT_TRUE(row.done) << value;
+      EXPECT_EQ(row.done->form, ProgressForm::compact);
+      EXPECT_EQ(row.done->tasks, tasks);
+    }
+  }
+}
+
+// The form of the fewest bytes, and never more than bits beside the mark of the form.
+TEST(CompactProgress, KeepsBitsWhereTheseAreShorter) {
+  for (const std::uint32_t count : {1u, 36u, 515u, 32768u}) {
+    for (const double share : {0.01, 0.5, 1.0}) {
+      const codec::TaskRange range{0, 32768};
+      const auto tasks = some_tasks(0, count, share, count);
+      const auto bits = codec::encode_done(tasks, range, ProgressForm::bits, "n");
+      const auto compact = codec::encode_done(tasks, range, ProgressForm::compact, "n");
+      EXPECT_LE(compact.size(), bits.size() + sizeof(",\"form\":2"));
+    }
+  }
+  std::vector<std::uint32_t> all(32768);
+  for (std::uint32_t i = 0; i < all.size(); ++i) all[i] = i;
+  EXPECT_LT(codec::encode_done(all, {0, 32768}, ProgressForm::compact, "n").size(), 100u);
+}
+
+TEST(CompactProgress, MalformedValuesAreReadAsNeither) {
+  for (const char* value : {
+           R"({"n":"n","chunk":0})",
+           R"({"n":"n","chunk":0,"form":3,"bits":"Fg"})",
+           R"({"n":"n","chunk":0,"form":2,"roaring":"!!!!"})",
+           R"({"n":"n","chunk":0,"form":2,"roaring":"AAAA"})",
+           R"({"n":"n","chunk":0,"form":2,"roaring":""})",
+           R"({"n":"n","chunk":0,"form":2,"roaring":5})",
+           R"({"n":"n","chunk":99999999,"form":2,"bits":"Fg"})",
+           R"({"n":"n","chunk":0,"roaring":"Fg"})",
+           R"({"n":"n","form":2,"bits":"Fg"})",
+       })
+    EXPECT_FALSE(read("d/0/run-1/0", value).done) << value;
+  EXPECT_FALSE(codec::unpack_roaring(codec::pack_roaring({99999}, 0), 5));  // beyond any job
+}
+
+// A bitmap that was cut off is refused, or is one that a job may have.
+TEST(CompactProgress, BitmapsThatAreCutOffBreakNothing) {
+  const auto tasks = some_tasks(0, 30000, 0.2, 3);
+  const std::string text = codec::pack_roaring(tasks, 0);
+  std::size_t refused = 0;
+  for (std::size_t size = 0; size < text.size(); size += 97) {
+    const auto read_back = codec::unpack_roaring(text.substr(0, size), 0);
+    refused += !read_back;
+    EXPECT_LE(read_back.value_or(std::vector<std::uint32_t>{}).size(), constants::kTasksMax);
+  }
+  EXPECT_GT(refused, 10u);
+}
+
+// ----------------------------------------------------------------------------------- the plan
+
+// A job whose progress is stored as the planner says, commit by commit.
+class StoredJob {
+ public:
+  StoredJob(std::uint32_t tasks, std::size_t value_bytes)
+      : done_(tasks, false), value_bytes_(value_bytes) {}
+
+  void end(const std::vector<std::uint32_t>& tasks) {
+    for (const auto task : tasks) done_[task] = true;
+  }
+  upgrade::ProgressOfJob view() const {
+    return {0,
+            "run-1",
+            static_cast<std::uint32_t>(done_.size()),
+            value_bytes_,
+            [this](std::uint32_t first, std::uint32_t count) {
+              std::vector<std::uint32_t> out;
+              for (std::uint32_t i = first;
+                   i < std::min<std::uint32_t>(first + count, done_.size()); ++i)
+                if (done_[i]) out.push_back(i);
+              return out;
+            },
+            stored_};
+  }
+  std::size_t record(const std::vector<std::uint32_t>& tasks, ProgressForm form, std::size_t most) {
+    end(tasks);
+    std::vector<std::uint32_t> left = tasks;
+    std::size_t changes = 0;
+    while (!left.empty()) {
+      const auto batch = upgrade::batch_to_record(view(), left, form, most, "n0.b1.7");
+      if (batch.empty()) break;
+      changes += carry_out(batch, most);
+      std::erase_if(left, [&](std::uint32_t task) {
+        return std::find(batch.recorded.begin(), batch.recorded.end(), task) !=
+               batch.recorded.end();
+      });
+    }
+    return changes;
+  }
+  std::size_t convert(ProgressForm to, std::size_t most) {
+    std::size_t changes = 0;
+    while (true) {
+      const auto batch = upgrade::batch_to_convert(view(), to, most, "n0.b1.7");
+      if (batch.empty()) return changes;
+      changes += carry_out(batch, most);
+      EXPECT_EQ(stored_tasks(), done_tasks()) << "nothing is lost on the way";
+    }
+  }
+  std::vector<std::uint32_t> stored_tasks() const {
+    std::set<std::uint32_t> tasks;
+    for (const auto& [key, value] : values_) {
+      const auto row = read(key, value);
+      if (row.done) tasks.insert(row.done->tasks.begin(), row.done->tasks.end());
+    }
+    return {tasks.begin(), tasks.end()};
+  }
+  std::vector<std::uint32_t> done_tasks() const { return view().done(0, 1 << 20); }
+  std::size_t values_as(ProgressForm form) const {
+    std::size_t n = 0;
+    for (const auto& [key, stored] : stored_) n += !stored.unreadable && stored.form == form;
+    return n;
+  }
+  void put_unreadable(const std::string& key) {
+    values_[key] = "{}";
+    stored_[key] = {5, ProgressForm::bits, true};
+  }
+  const std::map<std::string, std::string>& values() const { return values_; }
+
+ private:
+  std::size_t carry_out(const upgrade::ProgressBatch& batch, std::size_t most) {
+    EXPECT_LE(batch.writes.size() + batch.deletes.size(), most);
+    for (const auto& value : batch.writes) {
+      EXPECT_LE(value.value.size(), value_bytes_);
+      values_[value.key] = value.value;
+      stored_[value.key] = {++revision_, value.form, false};
+    }
+    for (const auto& key : batch.deletes) {
+      values_.erase(key);
+      stored_.erase(key);
+    }
+    return batch.writes.size() + batch.deletes.size();
+  }
+
+  std::vector<bool> done_;
+  std::size_t value_bytes_;
+  upgrade::StoredValues stored_;
+  std::map<std::string, std::string> values_;
+  std::uint64_t revision_ = 0;
+};
+
+TEST(ProgressPlan, ConvertsThereAndBackAtAnySizeAndLosesNothing) {
+  for (const std::size_t value_bytes : {1024u, 2048u, 8192u}) {
+    for (const std::uint32_t tasks : {1u, 500u, 6000u, 100000u}) {
+      for (const double share : {0.05, 0.5, 1.0}) {
+        for (const std::size_t most : {1u, 2u, 16u}) {
+          StoredJob job(tasks, value_bytes);
+          const auto ended = some_tasks(0, tasks, share, tasks);
+          job.record(ended, ProgressForm::bits, most);
+          EXPECT_EQ(job.stored_tasks(), ended);
+          job.convert(ProgressForm::compact, most);
+          EXPECT_EQ(job.values_as(ProgressForm::bits), 0u);
+          EXPECT_EQ(job.stored_tasks(), ended);
+          job.convert(ProgressForm::bits, most);
+          EXPECT_EQ(job.values_as(ProgressForm::compact), 0u);
+          EXPECT_EQ(job.stored_tasks(), ended);
+        }
+      }
+    }
+  }
+}
+
+// A long array ends about in the order of its tasks: one value of a few runs instead of a value for
+// each range.
+TEST(ProgressPlan, ALongArrayTakesFewerChangesInTheCompactForm) {
+  std::size_t changes[2] = {0, 0};
+  for (const auto form : {ProgressForm::bits, ProgressForm::compact}) {
+    StoredJob job(20000, 1024);
+    for (std::uint32_t first = 0; first < 20000; first += 4000) {
+      std::vector<std::uint32_t> ended;
+      for (std::uint32_t i = first; i < first + 4000; ++i) ended.push_back(i);
+      changes[form == ProgressForm::compact] += job.record(ended, form, 16);
+    }
+    EXPECT_EQ(job.stored_tasks().size(), 20000u);
+  }
+  EXPECT_LT(changes[1], changes[0]);
+}
+
+// The one value for all tasks does not fit any more, and later it does again.
+TEST(ProgressPlan, AValueForAllTasksGivesWayToRangesAndBack) {
+  StoredJob job(30000, 1024);
+  job.record({0, 1, 2, 3}, ProgressForm::compact, 16);
+  EXPECT_EQ(job.values().size(), 1u);
+  const auto scattered = some_tasks(4, 29000, 0.4, 11);
+  job.record(scattered, ProgressForm::compact, 4);
+  EXPECT_GT(job.values().size(), 4u);
+  EXPECT_EQ(job.stored_tasks(), job.done_tasks());
+  std::vector<std::uint32_t> rest;
+  for (std::uint32_t i = 0; i < 30000; ++i) rest.push_back(i);
+  EXPECT_EQ(job.record(rest, ProgressForm::compact, 16), 1u);
+  EXPECT_EQ(job.stored_tasks().size(), 30000u);
+}
+
+TEST(ProgressPlan, AnUnreadableValueIsLeftAsItIs) {
+  for (const auto form : {ProgressForm::bits, ProgressForm::compact}) {
+    StoredJob job(600, 8192);
+    job.put_unreadable("d/0/run-1/0");
+    EXPECT_EQ(job.record({1, 2}, form, 16), 0u);
+    EXPECT_EQ(job.convert(form, 16), 0u);
+    EXPECT_EQ(job.values().at("d/0/run-1/0"), "{}");
+  }
+}
+
+TEST(ConversionPace, KeepsToItsShare) {
+  upgrade::ConversionPace pace(2);
+  std::size_t changes = 0;
+  for (Ms now = 1000; now < 101000; now += 50)
+    if (pace.allows(now)) {
+      pace.take(3);
+      changes += 3;
+    }
+  EXPECT_GE(changes, 190u);
+  EXPECT_LE(changes, 206u);
+}
+
+// ------------------------------------------------------------------------ in a running cluster
+
+class Conversion : public testing::TestWithParam<std::uint64_t> {
+ protected:
+  Options options() const {
+    Options o = upgrade_options(GetParam());
+    o.state_write_rps = 30;
+    return o;
+  }
+  // Many arrays that last, with some of their tasks done early.
+  static void submit_lasting(World& w, int jobs) {
+    for (int n = 0; n < jobs; ++n) {
+      const char* team = std::array{"red", "blue", "gold"}[static_cast<std::size_t>(n % 3)];
+      w.at(3 + 0.2 * n, [&w, n, team] {
+        const std::string id = "run-" + std::to_string(n);
+        w.submit(w.job(id, team, 4, 0.2, 60));
+        w.set_run_s(id, {2, 3, 75, 80});
+      });
+    }
+  }
+  static void expect_all_done(World& w, int jobs) {
+    for (int n = 0; n < jobs; ++n) EXPECT_EQ(w.phase("run-" + std::to_string(n)), "done") << n;
+  }
+};
+
+TEST_P(Conversion, RewritesWhatIsStoredWithinItsShareAndTellsWhatIsLeft) {
+  Options o = options();
+  o.upgrades->conversion_share = 0.1;
+  UpgradeWorld w(o);
+  submit_lasting(w, 45);
+  w.advance_to(30, ClusterVersion::convert);
+  std::size_t left_at_first = 0;
+  Told status;
+  w.at(36, [&] { left_at_first = w.progress_in_bits(); });
+  w.at(46, [&] {
+    EXPECT_GT(w.progress_in_bits(), 0u) << "it is spread over time";
+    EXPECT_LT(w.progress_in_bits(), left_at_first);
+    w.raw(1, "GET", "/upgrade/status", "", [&](int s, std::string body) {
+      status = {s, std::move(body)};
+    });
+    w.ask_now(0, Action::finalize);
+  });
+  w.run_until(70);
+  EXPECT_GT(left_at_first, 30u);
+  EXPECT_EQ(w.progress_in_bits(), 0u);
+  ASSERT_EQ(status.status, 200);
+  EXPECT_TRUE(status.has("\"to\":\"compact\""));
+  EXPECT_TRUE(status.has("\"unknown_partitions\":[]"));
+  EXPECT_FALSE(status.has("\"left\":0,"));
+  EXPECT_TRUE(w.told().back().has("still stored as bits")) << w.told().back().body;
+  w.ask_now(0, Action::finalize);
+  w.run_until(160);
+  EXPECT_EQ(w.cluster_version(), 4u);
+  expect_all_done(w, 45);
+  expect_rules_kept(w);
+}
+
+// Its owners fail, its jobs end and are called off, all while it goes on.
+TEST_P(Conversion, GoesOnThroughTakeoversEndsAndCancellations) {
+  UpgradeWorld w(options());
+  submit_lasting(w, 30);
+  submit_arrays(w, 5, 70, 2);
+  w.advance_to(30, ClusterVersion::convert);
+  for (int n = 0; n < 30; n += 4)
+    w.at(36.1 + 0.3 * n, [&w, n] { w.cancel("run-" + std::to_string(n)); });
+  w.at(37, [&] { w.crash(w.owner_of(0), 5); });
+  w.at(43, [&] { w.freeze(w.owner_of(1), 8); });
+  w.at(52, [&] { w.crash(w.owner_of(2), 0.5); });
+  w.run_until(75);
+  EXPECT_EQ(w.progress_in_bits(), 0u);
+  w.ask_now(1, Action::finalize);
+  w.run_until(190);
+  EXPECT_EQ(w.cluster_version(), 4u) << w.told().back().body;
+  expect_arrays_ended(w, 5, 70, 2);
+  expect_rules_kept(w);
+}
+
+// A value in neither form: the tasks that it may have told of are not taken for done, it stays as
+// it is, and the final step is refused by its key.
+TEST_P(Conversion, AnUnreadableValueIsReportedAndKept) {
+  UpgradeWorld w(options());
+  w.at(3, [&] {
+    w.submit(w.job("run-7", "blue", 4, 1, 60));
+    w.set_run_s("run-7", {2, 3, 60, 90});
+  });
+  w.run_until(20);
+  const auto stored = w.keys("d/");
+  ASSERT_EQ(stored.size(), 1u);
+  const std::string value = R"({"n":"n9.b1.1","chunk":0,"form":7,"runs":[0,2]})";
+  w.store(stored[0], value);
+  w.crash(w.owner_of(1), 6);
+  w.advance_to(35, ClusterVersion::convert);
+  w.ask(55, 0, Action::finalize);
+  w.run_until(58);
+  ASSERT_EQ(w.told().size(), 3u);
+  EXPECT_EQ(w.told().back().status, 409);
+  EXPECT_TRUE(w.told().back().has(stored[0])) << w.told().back().body;
+  EXPECT_EQ(*w.stored(stored[0]), value);
+  EXPECT_GT(w.lines("progress unreadable key=" + stored[0]), 0u);
+  w.run_until(170);
+  EXPECT_EQ(w.phase("run-7"), "done");
+  expect_rules_kept(w);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Conversion, testing::Values(1, 2, 3));
+
+}  // namespace
--- /dev/null
+++ b/tests/upgrade/settings_test.cc
@@ -0,0 +1,94 @@
+// The operators' upgrade file: every problem is named by file and field.
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+
+#include "upgrade/upgrade_settings.h"
+
+using namespace eiderreel;
+using namespace eiderreel::upgrade;
+
+namespace {
+
+class UpgradeFile : public testing::Test {
+ protected:
+  std::vector<std::string> load(const std::string& text) {
+    std::ofstream(file_) << text;
+    settings_ = {};
+    return load_upgrade_settings(file_, settings_);
+  }
+  void TearDown() override { std::remove(file_.c_str()); }
+
+  std::string file_ = testing::TempDir() + "upgrade_settings_test.toml";
+  UpgradeSettings settings_;
+};
+
+constexpr char kAutomatic[] =
+    "[upgrade]\nconversion_share = 0.25\nnewest_version = 2\n"
+    "[upgrade.automatic]\nenabled = true\ntime_zone = \"America/Vancouver\"\n"
+    "[[upgrade.automatic.windows]]\ndays = [\"sat\", \"sun\"]\nfrom = \"22:00\"\nto = \"04:00\"\n";
+
+TEST_F(UpgradeFile, IsReadWhole) {
+  EXPECT_EQ(load(kAutomatic), std::vector<std::string>{});
+  EXPECT_TRUE(settings_.enabled);
+  EXPECT_TRUE(settings_.automatic);
+  EXPECT_EQ(settings_.conversion_share, 0.25);
+  EXPECT_EQ(settings_.range.newest, ClusterVersion::write_compact);
+}
+
+TEST_F(UpgradeFile, NeedsNoMoreThanItsTable) {
+  EXPECT_EQ(load("[upgrade]\n"), std::vector<std::string>{});
+  EXPECT_TRUE(settings_.enabled);
+  EXPECT_FALSE(settings_.automatic);
+  EXPECT_EQ(settings_.range, VersionRange{});
+}
+
+TEST_F(UpgradeFile, TheOneUnderDeployIsGoodAndTakesNoStepsByItself) {
+  UpgradeSettings settings;
+  EXPECT_EQ(
+      load_upgrade_settings(std::string(EIDERREEL_SOURCE_DIR) + "/deploy/upgrade.toml", settings),
+      std::vector<std::string>{});
+  EXPECT_TRUE(settings.enabled);
+  EXPECT_FALSE(settings.automatic);
+}
+
+TEST_F(UpgradeFile, EveryProblemIsNamedByFileAndField) {
+  const std::vector<std::pair<std::string, std::string>> bad = {
+      {"", "upgrade: is missing"},
+      {"upgrade = 1\n", "upgrade: must be a table"},
+      {"[upgrade\n", "line 1"},
+      {"[upgrade]\nnewest_version = 0\n", "upgrade.newest_version: must be between 1 and 4"},
+      {"[upgrade]\nnewest_version = 5\n", "upgrade.newest_version"},
+      {"[upgrade]\nnewest_version = 1.5\n", "upgrade.newest_version: must be a whole number"},
+      {"[upgrade]\nconversion_share = 0.9\n", "upgrade.conversion_share"},
+      {"[upgrade]\nconversion_share = \"much\"\n", "upgrade.conversion_share"},
+      {"[upgrade]\nautomatic = true\n", "upgrade.automatic: must be a table"},
+      {"[upgrade.automatic]\nenabled = 1\ntime_zone = \"Etc/UTC\"\n", "upgrade.automatic.enabled"},
+      {"[upgrade.automatic]\nenabled = true\ntime_zone = \"Mars/Base\"\n",
+       "upgrade.automatic.time_zone"},
+      {"[upgrade.automatic]\nenabled = true\ntime_zone = \"Etc/UTC\"\n",
+       "upgrade.automatic.windows"},
+      {"[upgrade.automatic]\nenabled = true\ntime_zone = \"Etc/UTC\"\n"
+       "[[upgrade.automatic.windows]]\ndays = [\"saturday\"]\nfrom = \"22:00\"\nto = \"04:00\"\n",
+       "upgrade.automatic.windows[0].days"},
+      {"[upgrade.automatic]\nenabled = true\ntime_zone = \"Etc/UTC\"\n"
+       "[[upgrade.automatic.windows]]\ndays = [\"sat\"]\nfrom = \"22\"\nto = \"04:00\"\n",
+       "upgrade.automatic.windows[0].from"},
+      {"[upgrade.automatic]\nenabled = true\ntime_zone = \"Etc/UTC\"\n"
+       "[[upgrade.automatic.windows]]\ndays = [\"sat\"]\nfrom = \"22:00\"\n",
+       "upgrade.automatic.windows[0].to"}};
+  for (const auto& [text, what] : bad) {
+    const auto problems = load(text);
+    ASSERT_FALSE(problems.empty()) << text;
+    EXPECT_NE(problems[0].find(file_ + ": " + what), std::string::npos) << problems[0];
+  }
+}
+
+TEST_F(UpgradeFile, AFileThatIsNotThereIsAProblem) {
+  UpgradeSettings settings;
+  EXPECT_EQ(load_upgrade_settings(testing::TempDir() + "none.toml", settings).size(), 1u);
+  EXPECT_FALSE(settings.enabled);
+}
+
+}  // namespace
--- /dev/null
+++ b/tests/upgrade/upgrade_world.h
@@ -0,0 +1,142 @@
+// A simulated world whose controllers take part in cluster versions, and operators who ask them for
+// steps.
+#pragma once
+#include <rapidjson/document.h>
+
+#include <array>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "codec/upgrade_json.h"
+#include "standin/expectations.h"
+#include "standin/text.h"
+#include "upgrade/messages.h"
+
+namespace eiderreel::standin {
+
+using upgrade::Action;
+using upgrade::ClusterVersion;
+
+inline upgrade::UpgradeSettings enabled_upgrades() {
+  upgrade::UpgradeSettings settings;
+  settings.enabled = true;
+  settings.build = "test";
+  settings.conversion_share = 0.5;
+  return settings;
+}
+
+inline Options upgrade_options(std::uint64_t seed) {
+  Options o;
+  o.seed = seed;
+  o.machines = 9;
+  o.upgrades = enabled_upgrades();
+  return o;
+}
+
+// What an operator was told.
+struct Told {
+  int status = 0;
+  std::string body;
+
+  bool has(const std::string& text) const { return body.find(text) != std::string::npos; }
+};
+
+class UpgradeWorld : public World {
+ public:
+  explicit UpgradeWorld(const Options& o) : World(o) {}
+
+  // Asks a controller for a step, from the version that the state service has at that moment.
+  void ask_now(int node, Action action, std::set<std::string> without = {},
+               std::string request = "") {
+    if (request.empty()) request = "request-" + std::to_string(++requests_);
+    const upgrade::StepOrder order{
+        {action, std::move(without)},
+        static_cast<ClusterVersion>(std::max<std::uint64_t>(1, cluster_version())),
+        request,
+        "ops1",
+        "a test"};
+    raw(node, "POST", "/upgrade/step", codec::encode(order),
+        [this, request](int status, std::string body) {
+          told_.push_back({status, std::move(body)});
+          by_request_[request] = told_.back();
+        });
+  }
+  void ask(double t, int node, Action action, std::set<std::string> without = {}) {
+    at(t, [this, node, action, without] { ask_now(node, action, without); });
+  }
+  // Steps forward until the cluster is at this version, one every few seconds.
+  void advance_to(double t, ClusterVersion version, int node = 0) {
+    for (std::uint32_t v = 1; v < upgrade::number(version); ++v, t += kSettle)
+      ask(t, node,
+          v + 1 == upgrade::number(ClusterVersion::compact_only) ? Action::finalize
+                                                                 : Action::advance);
+  }
+  static constexpr double kSettle = 6;  // s; by then a step is acknowledged by all that run
+
+  std::uint64_t cluster_version() const {
+    const std::string* value = stored("e/upgrade/version");
+    if (!value) return 1;
+    rapidjson::Document d;
+    d.Parse(value->c_str());
+    return d["version"].IsUint64() ? d["version"].GetUint64() : 0;
+  }
+  // Under which version a controller acts, by its record; 0: it has none.
+  std::uint64_t acting(int node) const {
+    const std::string* value = stored("e/node/n" + std::to_string(node));
+    if (!value) return 0;
+    rapidjson::Document d;
+    d.Parse(value->c_str());
+    return d.HasMember("acting") ? d["acting"].GetUint64() : 0;
+  }
+  // Answers to the operators, in the order in which they came.
+  const std::vector<Told>& told() const { return told_; }
+  Told told_of(const std::string& request) const {
+    const auto found = by_request_.find(request);
+    return found == by_request_.end() ? Told{} : found->second;
+  }
+  std::size_t told_with(int status) const {
+    std::size_t n = 0;
+    for (const Told& t : told_) n += t.status == status;
+    return n;
+  }
+  std::size_t progress_with(const std::string& text) const {
+    std::size_t n = 0;
+    for (const auto& key : keys("d/")) n += stored(key)->find(text) != std::string::npos;
+    return n;
+  }
+  std::size_t progress_in_bits() const { return keys_under("d/") - progress_with("\"form\":2"); }
+
+ private:
+  int requests_ = 0;
+  std::vector<Told> told_;
+  std::map<std::string, Told> by_request_;
+};
+
+// Arrays of every team all the time, whose tasks end far apart, some of them called off.
+inline void submit_arrays(World& w, double from, double to, double every = 3) {
+  int n = 0;
+  for (double t = from; t < to; t += every, ++n) {
+    const std::string id = "run-" + std::to_string(1000 + n);
+    const char* team = std::array{"red", "blue", "gold"}[static_cast<std::size_t>(n % 3)];
+    w.at(t, [&w, id, team, n] {
+      std::vector<double> run_s;
+      for (int task = 0; task < 16; ++task) run_s.push_back(2 + (task * 7 + n) % 25);
+      w.submit(w.job(id, team, 16, 0.5, 10));
+      w.set_run_s(id, run_s);
+    });
+    if (n % 6 == 5) w.at(t + 8, [&w, id] { w.cancel(id); });
+  }
+}
+
+inline void expect_arrays_ended(World& w, double from, double to, double every = 3) {
+  int n = 0;
+  for (double t = from; t < to; t += every, ++n) {
+    const std::string id = "run-" + std::to_string(1000 + n);
+    const std::string phase = w.phase(id);
+    EXPECT_TRUE(phase == "done" || (n % 6 == 5 && phase == "cancelled")) << id << " is " << phase;
+  }
+}
+
+}  // namespace eiderreel::standin
