HTTP client and the pending answer in files of their own, a pure move

loop.cc held the client, the answer that may come later and the loop; the stand-ins that will serve real processes need the first two.

--- a/src/cli/http_call.cc
+++ b/src/cli/http_call.cc
@@ -4,7 +4,7 @@
 
 #include <utility>
 
-#include "net/loop.h"
+#include "net/http_client.h"
 
 namespace eiderreel::cli {
 
--- a/src/net/loop.cc
+++ b/src/net/loop.cc
@@ -12,6 +12,7 @@
 
 #include <random>
 
+#include "net/http_reply.h"
 #include "net/mesh_link.h"
 
 namespace eiderreel::net {
@@ -20,169 +21,12 @@
 
 namespace {
 
-timeval to_timeval(Ms ms) {
-  return {static_cast<time_t>(ms / 1000), static_cast<suseconds_t>((ms % 1000) * 1000)};
-}
-
-std::string take_body(evhttp_request* req) {
-  evbuffer* in = evhttp_request_get_input_buffer(req);
-  std::string body(evbuffer_get_length(in), '\0');
-  evbuffer_remove(in, body.data(), body.size());
-  return body;
-}
-
-const char* reason(int status) {
-  switch (status) {
-    case 200:
-      return "OK";
-    case 201:
-      return "Created";
-    case 400:
-      return "Bad Request";
-    case 404:
-      return "Not Found";
-    case 405:
-      return "Method Not Allowed";
-    case 413:
-      return "Content Too Large";
-    case 421:
-      return "Misdirected Request";
-    case 422:
-      return "Unprocessable Entity";
-    case 503:
-      return "Service Unavailable";
-    default:
-      return "Status";
-  }
-}
-
-// A request whose answer may come later, or never be wanted: its connection may close first.
-struct PendingReply {
-  evhttp_request* req;
-  bool closed = false;
-
-  explicit PendingReply(evhttp_request* r) : req(r) {
-    evhttp_request_own(req);
-    evhttp_connection_set_closecb(evhttp_request_get_connection(req), &on_close, this);
-  }
-  ~PendingReply() {
-    if (!req) return;
-    // Nobody answered. Guard: a request is never left hanging.
-    if (!closed) send(503, "");
-    if (req) evhttp_request_free(req);
-  }
-  PendingReply(const PendingReply&) = delete;
-  PendingReply& operator=(const PendingReply&) = delete;
-
-  static void on_close(evhttp_connection*, void* arg) {
-    static_cast<PendingReply*>(arg)->closed = true;
-  }
-
-  void send(int status, const std::string& body) {
-    if (!req || closed) return;
-    evhttp_request* r = req;
-    req = nullptr;
-    evhttp_connection_set_closecb(evhttp_request_get_connection(r), nullptr, nullptr);
-    evkeyvalq* headers = evhttp_request_get_output_headers(r);
-    evhttp_add_header(
-        headers, "Content-Type",
-        !body.empty() && body[0] != '{' ? "text/plain; version=0.0.4" : "application/json");
-    if (status == 503 || status == 429)
-      evhttp_add_header(headers, "Retry-After", std::to_string(k::kRetryAfterS).c_str());
-    evbuffer* out = evhttp_request_get_output_buffer(r);
-    evbuffer_add(out, body.data(), body.size());
-    r->flags &= ~EVHTTP_USER_OWNED;  // from here on libevent frees it, also when the link dies
-    evhttp_send_reply(r, status, reason(status), nullptr);
-  }
-};
-
 struct Once {
   std::function<void()> f;
 };
 
 }  // namespace
 
-bool parse_address(const std::string& text, Address& out) {
-  auto colon = text.rfind(':');
-  if (colon == std::string::npos || colon == 0) return false;
-  out.host = text.substr(0, colon);
-  const std::string port = text.substr(colon + 1);
-  if (port.empty() || port.size() > 5 ||
-      !std::all_of(port.begin(), port.end(), [](char c) { return c >= '0' && c <= '9'; }))
-    return false;
-  out.port = std::stoi(port);
-  in_addr a{};
-  return out.port > 0 && out.port < 65536 && evutil_inet_pton(AF_INET, out.host.c_str(), &a) == 1;
-}
-
-sockaddr_in to_sockaddr(const std::string& text) {
-  Address a;
-  parse_address(text, a);
-  sockaddr_in sin{};
-  sin.sin_family = AF_INET;
-  sin.sin_port = htons(static_cast<std::uint16_t>(a.port));
-  inet_pton(AF_INET, a.host.c_str(), &sin.sin_addr);
-  return sin;
-}
-
-// ------------------------------------------------------------------------------- client
-
-struct HttpClient::Call {
-  HttpClient* client;
-  evhttp_connection* conn;
-  std::function<void(HttpReply)> done;
-  bool once;
-};
-
-HttpClient::~HttpClient() {
-  for (auto* c : idle_) evhttp_connection_free(c);
-}
-
-void HttpClient::on_done(evhttp_request* req, void* arg) {
-  std::unique_ptr<Call> call(static_cast<Call*>(arg));
-  HttpReply reply;
-  if (req && evhttp_request_get_response_code(req) != 0) {
-    reply.status = evhttp_request_get_response_code(req);
-    reply.body = take_body(req);
-    if (call->once)
-      evhttp_connection_free_on_completion(call->conn);
-    else
-      call->client->idle_.push_back(call->conn);
-  } else {
-    evhttp_connection_free_on_completion(call->conn);
-  }
-  call->done(std::move(reply));
-}
-
-void HttpClient::send(HttpRequest r, std::function<void(HttpReply)> done) {
-  evhttp_connection* conn = nullptr;
-  if (!idle_.empty()) {
-    conn = idle_.back();
-    idle_.pop_back();
-  } else {
-    conn = evhttp_connection_base_new(base_, nullptr, addr_.host.c_str(),
-                                      static_cast<std::uint16_t>(addr_.port));
-  }
-  const timeval tv = to_timeval(r.timeout);
-  evhttp_connection_set_timeout_tv(conn, &tv);
-  auto* call = new Call{this, conn, std::move(done), r.once};  // freed by on_done
-  evhttp_request* req = evhttp_request_new(&HttpClient::on_done, call);
-  evkeyvalq* headers = evhttp_request_get_output_headers(req);
-  evhttp_add_header(headers, "Host", (addr_.host + ":" + std::to_string(addr_.port)).c_str());
-  if (r.once) evhttp_add_header(headers, "Connection", "close");
-  if (!r.body.empty()) {
-    evhttp_add_header(headers, "Content-Type", "application/json");
-    evbuffer_add(evhttp_request_get_output_buffer(req), r.body.data(), r.body.size());
-  }
-  evhttp_cmd_type type = r.method == "GET"    ? EVHTTP_REQ_GET
-                         : r.method == "POST" ? EVHTTP_REQ_POST
-                                              : EVHTTP_REQ_DELETE;
-  // On failure libevent has called on_done or freed the request; nothing is left to do here.
-  evhttp_make_request(conn, req, type, r.path.c_str());
-}
-
-// --------------------------------------------------------------------------------- loop
-
 Loop::Loop(const Settings& s) : s_(s) {
   event_config* config = event_config_new();
   event_config_set_flag(config, EVENT_BASE_FLAG_NOLOCK);
