A rolling upgrade of real controllers on loopback, driven by the command line alone

Need: the simulated world has no real process, socket or kill. Three controllers run as processes against the stand-ins, which serve the models of the simulated world over HTTP in real time. A build with a lower ceiling plays the older one; a script takes the build that runs in production. They are upgraded in a random order with a printed seed, under submissions, cancellations and polls, killed or stopped at random points; then the checker of the simulated world and that of cluster versions look at the history.

Tests changed, told plainly: the stand-ins are a library that both test programs link; the version checker learns from the records which processes take part; where controllers are processes, users have one question of a job on its way at a time, since an answer may be overtaken between processes.

--- a/src/net/http_reply.cc
+++ b/src/net/http_reply.cc
@@ -23,6 +23,8 @@
       return "Bad Request";
     case 404:
       return "Not Found";
+    case 409:
+      return "Conflict";
     case 405:
       return "Method Not Allowed";
     case 413:
--- /dev/null
+++ b/tests/processes/process_cluster.h
@@ -0,0 +1,66 @@
+// Three controllers as real processes on loopback. State service, cloud, workers and users are
+// those of the simulated world, served over real sockets, in real time.
+#pragma once
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "net/http_client.h"
+#include "processes/child_process.h"
+#include "processes/stand_in_servers.h"
+#include "upgrade/upgrade_world.h"
+
+namespace eiderreel::standin {
+
+// A build of the controller.
+struct ControllerBuild {
+  std::string program;
+  bool takes_upgrade_file = true;  // the builds before cluster versions know of none
+};
+
+class ProcessCluster {
+ public:
+  ProcessCluster(Options options, const std::string& directory);
+  ~ProcessCluster();
+
+  UpgradeWorld& world() { return *world_; }
+  void start(int node, const ControllerBuild& build);
+  void kill(int node) { controllers_[static_cast<std::size_t>(node)].reset(); }
+  void stop(int node, bool on) { controllers_[static_cast<std::size_t>(node)]->stop(on); }
+  // The exit code of a controller that has ended by itself.
+  std::optional<int> ended(int node);
+  // Runs for so long, or until the condition holds; whether it does.
+  bool run_until(double seconds_from_now, const std::function<bool()>& condition);
+  void run_for(double seconds) {
+    run_until(seconds, [] { return false; });
+  }
+  double now() const;
+  // `eiderreel upgrade ...` with the addresses of all controllers; its exit code.
+  int command(const ControllerBuild& build, std::vector<std::string> words);
+  const std::string& directory() const { return directory_; }
+  std::string last_output() const;  // of a command
+
+ private:
+  struct ControllerAddress {
+    std::string api, mesh;
+  };
+  std::string settings_text(int node) const;
+  std::string add_worker(const std::string& machine);
+  void call_controller(int node, const HttpRequest& request, std::function<void(HttpReply)> done);
+  StandInServer::Handler stand_in(const std::string& name);
+
+  Options options_;
+  std::string directory_;
+  net::Base base_;
+  std::vector<ControllerAddress> addresses_;
+  std::vector<std::unique_ptr<net::HttpClient>> clients_;
+  std::map<std::string, std::unique_ptr<StandInServer>> workers_;  // by machine
+  std::unique_ptr<UpgradeWorld> world_;
+  std::unique_ptr<StandInServer> state_, cloud_;
+  std::vector<std::unique_ptr<ChildProcess>> controllers_;
+  Ms started_at_ = 0;
+};
+
+}  // namespace eiderreel::standin
--- /dev/null
+++ b/tests/processes/rolling_upgrade_processes_test.cc
@@ -0,0 +1,169 @@
+// A rolling upgrade of three real controllers on loopback, under load and with kills, driven by the
+// command line alone. In CI the older build is this one with a lower ceiling;
+// upgrade_from_production.sh takes the build that runs in production.
+//
+//   EIDERREEL_SEED=N              the order of the upgrades, and the moments of the kills
+//   EIDERREEL_OLDER_BUILD=PROGRAM another older build, which knows of no upgrade file
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <random>
+
+#include "processes/process_cluster.h"
+
+using namespace eiderreel;
+using namespace eiderreel::standin;
+
+namespace {
+
+constexpr double kSubmitEveryS = 0.4;
+constexpr double kStepPatienceS = 40;   // s; a step is asked for until it is taken
+constexpr double kReadyPatienceS = 20;  // s; a controller that was started has its record by then
+constexpr double kDrainPatienceS = 90;  // s; all jobs have ended by then
+
+class RollingUpgradeProcesses : public testing::Test {
+ protected:
+  RollingUpgradeProcesses()
+      : seed_(std::getenv("EIDERREEL_SEED")
+                  ? std::strtoull(std::getenv("EIDERREEL_SEED"), nullptr, 10)
+                  : 1),
+        random_(seed_),
+        newer_{EIDERREEL_PROGRAM, true},
+        older_{EIDERREEL_LOWER_CEILING_PROGRAM, true},
+        cluster_(options(),
+                 testing::TempDir() + "eiderreel_processes_" + std::to_string(getpid())) {
+    if (const char* program = std::getenv("EIDERREEL_OLDER_BUILD")) older_ = {program, false};
+    std::printf("seed %llu, logs in %s\n", static_cast<unsigned long long>(seed_),
+                cluster_.directory().c_str());
+  }
+  ~RollingUpgradeProcesses() override {
+    if (!HasFailure()) std::filesystem::remove_all(cluster_.directory());
+  }
+
+  Options options() const {
+    Options o = upgrade_options(seed_);
+    o.teams = {{"red", 16, 48, 0, 0}, {"blue", 16, 48, 0, 0}, {"gold", 16, 48, 0, 0}};
+    return o;
+  }
+
+  // Jobs all the time, some of them called off; the world's users ask about each.
+  void submit_while_running() {
+    World& w = cluster_.world();
+    w.at(w.now() + kSubmitEveryS, [this, &w] {
+      if (!submitting_) return;
+      const std::string id = "run-" + std::to_string(++jobs_);
+      const char* team = std::array{"red", "blue", "gold"}[static_cast<std::size_t>(jobs_ % 3)];
+      std::vector<double> run_s;
+      for (int task = 0; task < 6; ++task) run_s.push_back(1 + (task * 5 + jobs_) % 11);
+      w.submit(w.job(id, team, 6, 1, 5));
+      w.set_run_s(id, run_s);
+      if (jobs_ % 5 == 0) w.at(w.now() + 3, [&w, id] { w.cancel(id); });
+      submit_while_running();
+    });
+  }
+  bool all_ended() {
+    for (int n = 1; n <= jobs_; ++n) {
+      const std::string phase = cluster_.world().phase("run-" + std::to_string(n));
+      if (phase != "done" && phase != "cancelled") return false;
+    }
+    return true;
+  }
+
+  double number_in(double least, double most) {
+    return std::uniform_real_distribution<double>(least, most)(random_);
+  }
+  int pick(int count) { return std::uniform_int_distribution<int>(0, count - 1)(random_); }
+
+  const ControllerBuild& build_of(int node) const {
+    return upgraded_.count(node) ? newer_ : older_;
+  }
+  bool has_record(int node) {
+    const std::string* record = cluster_.world().stored("e/node/n" + std::to_string(node));
+    const std::string mark = upgraded_.count(node) ? "\"newest\":4" : "\"boot\"";
+    return record && record->find(mark) != std::string::npos;
+  }
+  void restart(int node) {
+    cluster_.kill(node);
+    cluster_.run_for(number_in(0.05, 1.5));
+    cluster_.start(node, build_of(node));
+  }
+  // One of them is killed, or stands still for up to longer than its lease, and comes back.
+  void disturb() {
+    const int node = pick(3);
+    if (pick(3) > 0) return restart(node);
+    cluster_.stop(node, true);
+    cluster_.run_for(number_in(0.5, 7));
+    cluster_.stop(node, false);
+  }
+  // Asks for a step until it is taken; disturbances come between and during the attempts.
+  void take_step(std::vector<std::string> words, std::uint64_t version) {
+    cluster_.world().at(cluster_.world().now() + number_in(0, 0.4), [this] {
+      if (const int node = pick(3); pick(2) == 0) kill_soon_ = node;
+    });
+    const double end = cluster_.now() + kStepPatienceS;
+    while (cluster_.world().cluster_version() < version && cluster_.now() < end) {
+      const int code = cluster_.command(newer_, words);
+      EXPECT_TRUE(code == 0 || code == 1 || code == 3) << code << ": " << cluster_.last_output();
+      if (kill_soon_ >= 0) restart(std::exchange(kill_soon_, -1));
+      cluster_.run_for(1);
+    }
+    EXPECT_EQ(cluster_.world().cluster_version(), version) << cluster_.last_output();
+  }
+
+  std::uint64_t seed_;
+  std::mt19937_64 random_;
+  ControllerBuild newer_, older_;
+  ProcessCluster cluster_;
+  std::set<int> upgraded_;
+  int jobs_ = 0, kill_soon_ = -1;
+  bool submitting_ = true;
+};
+
+TEST_F(RollingUpgradeProcesses, LosesNoJobAndPlacesNoneTwice) {
+  for (int node = 0; node < 3; ++node) cluster_.start(node, older_);
+  ASSERT_TRUE(cluster_.run_until(kReadyPatienceS,
+                                 [&] { return has_record(0) && has_record(1) && has_record(2); }));
+  submit_while_running();
+  cluster_.run_for(4);
+
+  std::vector<int> order = {0, 1, 2};
+  std::shuffle(order.begin(), order.end(), random_);
+  for (const int node : order) {
+    EXPECT_EQ(cluster_.command(newer_, {"advance", "--reason", "too early"}), 1)
+        << "a step is refused while an older build runs: " << cluster_.last_output();
+    std::printf("upgrading n%d\n", node);
+    upgraded_.insert(node);
+    restart(node);
+    EXPECT_TRUE(cluster_.run_until(kReadyPatienceS, [&] { return has_record(node); }));
+    if (pick(2) == 0) disturb();
+  }
+
+  take_step({"advance", "--reason", "write compact"}, 2);
+  disturb();
+  take_step({"advance", "--reason", "convert"}, 3);
+  disturb();
+  EXPECT_EQ(cluster_.command(newer_, {"status"}), 0) << cluster_.last_output();
+  cluster_.command(newer_, {"plan", "--action", "finalize"});
+  take_step({"finalize", "--yes", "--reason", "no older build is left"}, 4);
+  EXPECT_EQ(cluster_.command(newer_, {"abort", "--reason", "too late"}), 1);
+  EXPECT_NE(cluster_.last_output().find("is final"), std::string::npos) << cluster_.last_output();
+  EXPECT_EQ(cluster_.command(newer_, {"history"}), 0);
+  cluster_.run_for(3);
+
+  submitting_ = false;
+  cluster_.world().troubles_over();
+  EXPECT_TRUE(cluster_.run_until(kDrainPatienceS, [&] { return all_ended(); }));
+  for (int node = 0; node < 3; ++node) {
+    EXPECT_FALSE(cluster_.ended(node)) << "n" << node << " ended by itself";
+    EXPECT_EQ(cluster_.world().acting(node), 4u);
+  }
+  EXPECT_EQ(cluster_.world().progress_in_bits(), 0u);
+  EXPECT_GT(cluster_.world().versions().progress_written(true), 0u);
+  std::printf("%d jobs, %zu starts, %.0f s\n", jobs_, cluster_.world().checker().starts(),
+              cluster_.now());
+  expect_rules_kept(cluster_.world());
+}
+
+}  // namespace
--- /dev/null
+++ b/tests/processes/stand_in_servers.cc
@@ -0,0 +1,68 @@
+#include "processes/stand_in_servers.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "net/http_client.h"
+#include "net/http_reply.h"
+
+namespace eiderreel::standin {
+namespace {
+
+constexpr char kLoopback[] = "127.0.0.1";
+
+int port_of(int socket) {
+  sockaddr_in bound{};
+  socklen_t size = sizeof bound;
+  getsockname(socket, reinterpret_cast<sockaddr*>(&bound), &size);
+  return ntohs(bound.sin_port);
+}
+
+std::string method_of(evhttp_request* request) {
+  switch (evhttp_request_get_command(request)) {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    default:
+      return "POST";
+  }
+}
+
+}  // namespace
+
+int free_port() {
+  const int probe = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in any = net::to_sockaddr(std::string(kLoopback) + ":1");
+  any.sin_port = 0;
+  bind(probe, reinterpret_cast<sockaddr*>(&any), sizeof any);
+  const int port = port_of(probe);
+  close(probe);
+  return port;
+}
+
+StandInServer::StandInServer(event_base* base, Handler handler)
+    : server_(evhttp_new(base)), handler_(std::move(handler)) {
+  evhttp_set_gencb(server_, &StandInServer::on_request, this);
+  evhttp_bound_socket* bound = evhttp_bind_socket_with_handle(server_, kLoopback, 0);
+  address_ =
+      std::string(kLoopback) + ":" + std::to_string(port_of(evhttp_bound_socket_get_fd(bound)));
+}
+
+StandInServer::~StandInServer() { evhttp_free(server_); }
+
+void StandInServer::on_request(evhttp_request* request, void* self) {
+  HttpRequest arrived;
+  arrived.method = method_of(request);
+  arrived.path = evhttp_request_get_uri(request);
+  arrived.body = net::take_body(request);
+  auto pending = std::make_shared<net::PendingReply>(request);
+  static_cast<StandInServer*>(self)->handler_(
+      arrived, [pending](HttpReply reply) { pending->send(reply.status, reply.body); });
+}
+
+}  // namespace eiderreel::standin
--- /dev/null
+++ b/tests/processes/stand_in_servers.h
@@ -0,0 +1,38 @@
+// HTTP servers on loopback for what controllers deal with: state service, cloud and workers.
+#pragma once
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "actors/runtime.h"
+
+struct event_base;
+struct evhttp;
+struct evhttp_request;
+
+namespace eiderreel::standin {
+
+class StandInServer {
+ public:
+  // `path` with its query part.
+  using Handler = std::function<void(const HttpRequest& request, std::function<void(HttpReply)>)>;
+  StandInServer(event_base* base, Handler handler);
+  ~StandInServer();
+  StandInServer(const StandInServer&) = delete;
+  StandInServer& operator=(const StandInServer&) = delete;
+
+  const std::string& address() const { return address_; }  // 127.0.0.1 and a free port
+
+ private:
+  static void on_request(evhttp_request* request, void* self);
+
+  evhttp* server_;
+  Handler handler_;
+  std::string address_;
+};
+
+// A port of loopback that was free a moment ago.
+int free_port();
+
+}  // namespace eiderreel::standin
--- a/tests/standin/version_checker.cc
+++ b/tests/standin/version_checker.cc
@@ -45,11 +45,15 @@
 }  // namespace
 
 void VersionChecker::written(const std::string& key, const std::string& value, const Rows& rows) {
-  if (has_prefix(key, "e/node/")) return;
+  if (has_prefix(key, "e/node/")) return take_record(key, value);
   if (key == "e/upgrade/version") versions_.push_back(number_in(&value, "version"));
   check_writer(key, value, rows);
 }
 
+void VersionChecker::take_record(const std::string& key, const std::string& value) {
+  if (number_in(&value, "acting") > 0) boots_.insert({codec::key_name(key), boot_in(&value)});
+}
+
 // Whoever writes has a record at that moment, and progress is in the form of its version.
 void VersionChecker::check_writer(const std::string& key, const std::string& value,
                                   const Rows& rows) {
--- a/tests/standin/version_checker.h
+++ b/tests/standin/version_checker.h
@@ -15,8 +15,6 @@
   using Rows = std::function<const std::string*(const std::string& key)>;
   explicit VersionChecker(Broke broke) : broke_(std::move(broke)) {}
 
-  // A process that takes part in cluster versions has started.
-  void started(const std::string& node, const std::string& boot) { boots_.insert({node, boot}); }
   // A value has been written; `rows` looks keys up in the state as it was just before.
   void written(const std::string& key, const std::string& value, const Rows& rows);
   // All changes of a transaction, or the end of a lease, are done.
@@ -27,10 +25,12 @@
   const std::vector<std::uint64_t>& versions() const { return versions_; }
 
  private:
+  void take_record(const std::string& key, const std::string& value);
   void check_writer(const std::string& key, const std::string& value, const Rows& rows);
 
   Broke broke_;
-  std::set<std::pair<std::string, std::string>> boots_;  // node and boot
+  // Node and boot id of the processes that take part in cluster versions, by their records.
+  std::set<std::pair<std::string, std::string>> boots_;
   std::size_t progress_written_[2] = {0, 0};
   std::vector<std::uint64_t> versions_{1};
 };
--- a/tests/standin/world.cc
+++ b/tests/standin/world.cc
@@ -145,7 +145,7 @@
   }
   if (o_.upgrades) observe_versions();
   for (int i = 0; i < o_.machines; ++i) add_worker(i % 2 ? "b" : "a", false, 0);
-  for (std::size_t i = 0; i < procs_.size(); ++i)
+  for (std::size_t i = 0; i < procs_.size() && !o_.processes; ++i)
     schedule(static_cast<Ms>(10 + 10 * i), [this, i] { start_node(i); });
   schedule(kWorkerStep, [this] { tick_workers(); });
   schedule(1000, [this] { look_for_room(); });
@@ -245,37 +245,46 @@
           deliver(
               to, from, [finish, reply] { finish(reply); }, reset);
         };
-        if (to == "state") return state_service_.serve(from, r, std::move(back));
-        if (to == "cloud") return serve_cloud(r, std::move(back));
-        for (std::size_t i = 0; i < procs_.size(); ++i)
-          if (procs_[i].name == to)
-            return when_awake(i, [this, i, from, r, back] {
-              Proc& p = procs_[i];
-              if (!p.up) return back({});
-              sink()->node = p.name;
-              p.node->request(r.method, r.path, p.old ? as_old_build_reads(r.body) : r.body,
-                              [this, i, from, r, back](int status, std::string body) {
-                                for (auto at = body.find("\"launch\""); at != std::string::npos;
-                                     at = body.find("\"launch\"", at + 1))
-                                  ++launches_[from];
-                                if (r.path == "/v1/report" && status == 200) {
-                                  ++reports_taken_[static_cast<int>(i)];
-                                  check_entitled(*procs_[i].node, r.body);
-                                }
-                                back({status, body});
-                              });
-            });
-        for (auto& [id, w] : workers_)
-          if (w->addr == to) {
-            if (r.path == "/commands" && late_commands_.share > 0 &&
-                chance() < late_commands_.share)
-              return hold_command(*w, r);
-            return serve_worker(*w, r, std::move(back));
-          }
+        arrive(from, to, r, std::move(back));
       },
       reset);
 }
 
+void World::arrive(const std::string& from, const std::string& to, const HttpRequest& r,
+                   Done back) {
+  if (to == "state") return state_service_.serve(from, r, std::move(back));
+  if (to == "cloud") return serve_cloud(r, std::move(back));
+  for (std::size_t i = 0; i < procs_.size(); ++i)
+    if (procs_[i].name == to) return arrive_at_node(i, from, r, std::move(back));
+  for (auto& [id, w] : workers_)
+    if (w->addr == to) {
+      if (r.path == "/commands" && late_commands_.share > 0 && chance() < late_commands_.share)
+        return hold_command(*w, r);
+      return serve_worker(*w, r, std::move(back));
+    }
+}
+
+void World::arrive_at_node(std::size_t i, const std::string& from, const HttpRequest& r,
+                           Done back) {
+  if (o_.processes) return o_.processes(static_cast<int>(i), r, std::move(back));
+  when_awake(i, [this, i, from, r, back] {
+    Proc& p = procs_[i];
+    if (!p.up) return back({});
+    sink()->node = p.name;
+    p.node->request(r.method, r.path, p.old ? as_old_build_reads(r.body) : r.body,
+                    [this, i, from, r, back](int status, std::string body) {
+                      for (auto at = body.find("\"launch\""); at != std::string::npos;
+                           at = body.find("\"launch\"", at + 1))
+                        ++launches_[from];
+                      if (r.path == "/v1/report" && status == 200) {
+                        ++reports_taken_[static_cast<int>(i)];
+                        check_entitled(*procs_[i].node, r.body);
+                      }
+                      back({status, body});
+                    });
+  });
+}
+
 // Held up on its way: it is carried out once, late, and nobody hears of it.
 void World::hold_command(Worker& w, const HttpRequest& r) {
   ++commands_late_;
@@ -308,7 +317,6 @@
   Proc& p = procs_[i];
   ++p.life;
   p.runtime = std::make_unique<NodeRuntime>(*this, i, p.life);
-  if (p.settings.upgrade.enabled) version_checker_.started(p.name, p.runtime->boot_id());
   p.node = std::make_unique<Controller>(*p.runtime, p.settings);
   p.up = true;
   sink()->node = p.name;
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -42,10 +42,15 @@
   // What the operators' upgrade file says, the same for all controllers; without one, they take no
   // part in cluster versions.
   std::optional<upgrade::UpgradeSettings> upgrades;
+  // Controllers that are processes of their own, reached by this; none is started in the world.
+  std::function<void(int node, HttpRequest request, std::function<void(HttpReply)> done)> processes;
+  // The address at which a machine can be reached by such processes.
+  std::function<std::string(const std::string& machine)> worker_address;
 };
 
 class World {
  public:
+  using Done = std::function<void(HttpReply)>;
   explicit World(Options o);
   ~World();
 
@@ -85,6 +90,11 @@
   void raw(int node, const std::string& method, const std::string& path, const std::string& body,
            std::function<void(int, std::string)> done);
 
+  // A request of a controller that is a process of its own, to "state", "cloud" or a worker.
+  void serve(const std::string& to, const HttpRequest& request, Done done) {
+    arrive("process", to, request, std::move(done));
+  }
+
   // --- troubles ---
   void crash(int node, double back_after_s = 4);
   // It is killed and comes back as the new build.
@@ -201,12 +211,13 @@
     std::vector<std::function<void()>> unread;  // commands that came while it hung
   };
 
-  using Done = std::function<void(HttpReply)>;
   void schedule(Ms t, std::function<void()> f);
   void deliver(const std::string& from, const std::string& to, std::function<void()> f,
                std::function<void()> reset);
   const CutMode* cut_between(const std::string& a, const std::string& b) const;
   void call(const std::string& from, HttpRequest r, Done done);
+  void arrive(const std::string& from, const std::string& to, const HttpRequest& r, Done back);
+  void arrive_at_node(std::size_t i, const std::string& from, const HttpRequest& r, Done back);
   void serve_cloud(const HttpRequest& r, Done done);
   void list_machines(const std::string& path, const Done& done) const;
   void serve_worker(Worker& w, const HttpRequest& r, Done done);
@@ -232,6 +243,7 @@
   void try_submit(const JobSpec& spec, double until);
   void try_cancel(const std::string& id, int n);
   void try_cancel_at(int node, const std::string& id, int n);
+  bool must_wait(const std::string& id) const;
   void poll_loop(const std::string& id);
   int pick_node();
   Ms latency();
@@ -277,6 +289,7 @@
   std::map<std::string, double> run_s_;
   std::map<std::string, std::vector<double>> runs_;
   std::map<std::string, std::string> told_;
+  std::map<std::string, int> asking_;  // questions and cancellations of a job on their way
   std::set<std::string> failing_jobs_;
   std::map<int, std::size_t> odd_;
   int next_node_ = 0;
--- a/tests/standin/world_cloud.cc
+++ b/tests/standin/world_cloud.cc
@@ -17,7 +17,7 @@
   char id[16];
   std::snprintf(id, sizeof id, "m-%06llu", static_cast<unsigned long long>(next_machine_++));
   w->id = id;
-  w->addr = std::string("w-") + id;
+  w->addr = o_.worker_address ? o_.worker_address(id) : std::string("w-") + id;
   w->zone = zone;
   w->spot = spot;
   w->rented_at = now();
--- a/tests/standin/world_users.cc
+++ b/tests/standin/world_users.cc
@@ -93,7 +93,9 @@
 }
 
 void World::poll_once(int node, const std::string& id, std::function<void(int, std::string)> done) {
+  ++asking_[id];
   raw(node, "GET", "/v1/jobs/" + id, "", [this, id, done](int status, const std::string& body) {
+    --asking_[id];
     std::string phase;
     if (status == 200) {
       Document d;
@@ -110,8 +112,16 @@
   });
 }
 
+// Between processes an answer may be overtaken by one to a later question. Users who have one
+// question of a job on its way at a time can tell which is newer; in simulated time they need not.
+bool World::must_wait(const std::string& id) const {
+  const auto asking = asking_.find(id);
+  return o_.processes && asking != asking_.end() && asking->second > 0;
+}
+
 void World::poll_loop(const std::string& id) {
   at(now() + 2, [this, id] {
+    if (must_wait(id)) return poll_loop(id);
     poll_once(pick_node(), id, [this, id](int, const std::string& phase) {
       if (phase != "done" && phase != "cancelled") poll_loop(id);
     });
@@ -136,8 +146,11 @@
 void World::try_cancel(const std::string& id, int n) { try_cancel_at(pick_node(), id, n); }
 
 void World::try_cancel_at(int node, const std::string& id, int n) {
+  if (must_wait(id)) return at(now() + 0.05, [this, node, id, n] { try_cancel_at(node, id, n); });
+  ++asking_[id];
   raw(node, "POST", "/v1/jobs/" + id + "/cancel", "",
       [this, id, n, node](int status, const std::string& body) {
+        --asking_[id];
         if (status == 200) {
           Document d;
           d.Parse(body.c_str());
