--- a/src/actors/owner.cc
+++ b/src/actors/owner.cc
@@ -207,7 +207,7 @@
     const int part = o.core->index();
     rt_.http(
         {kill.addr, "POST", "/commands",
-         codec::commands_body(kill.term, kill.tenure, kill.commands), k::kCommandTimeoutMs, true},
+         codec::commands_body(kill.term, kill.session, kill.commands), k::kCommandTimeoutMs, true},
         [this, part, machine = kill.machine, term = o.core->term()](HttpReply r) {
           // Its next report tells what came of it. Guard: without an answer it may be mute, and
           // hear of the kill in no other way.
--- a/src/codec/json.h
+++ b/src/codec/json.h
@@ -27,7 +27,7 @@
 // --- workers ---
 std::optional<Report> parse_report(const std::string& body);
 std::string report_answer(std::uint64_t term, const std::vector<Command>& commands);
-std::string commands_body(std::uint64_t term, std::uint64_t tenure,
+std::string commands_body(std::uint64_t term, std::uint64_t session,
                           const std::vector<Command>& commands);
 std::string upstream_body(const std::string& node);
 
--- a/src/codec/worker_json.cc
+++ b/src/codec/worker_json.cc
@@ -49,8 +49,8 @@
   if (!parse(d, body)) return std::nullopt;
   Report r;
   if (!get(d, "host", r.machine) || !get(d, "endpoint", r.addr) || !get(d, "hull", r.type) ||
-      !get(d, "berth", r.zone) || !get(d, "driftwood", r.spot) || !get(d, "tenure", r.tenure) ||
-      !get(d, "tick", r.tick) || !get(d, "epoch", r.term))
+      !get(d, "berth", r.zone) || !get(d, "driftwood", r.spot) || !get(d, "tenure", r.session) ||
+      !get(d, "tick", r.sequence) || !get(d, "epoch", r.term))
     return std::nullopt;
   double notice = 0;
   if (get(d, "warning_s", notice)) r.notice_s = notice;
@@ -79,11 +79,11 @@
   });
 }
 
-std::string commands_body(std::uint64_t term, std::uint64_t tenure,
+std::string commands_body(std::uint64_t term, std::uint64_t session,
                           const std::vector<Command>& commands) {
   return object([&](Writer& w) {
     put(w, "epoch", term);
-    put(w, "tenure", tenure);
+    put(w, "tenure", session);
     put_orders(w, commands);
   });
 }
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -414,7 +414,7 @@
     auto it = machines_.find(id);
     if (it == machines_.end() || !it->second->reported || it->second->gone) continue;
     const Machine& m = *it->second;
-    out.push_back({id, m.addr, m.tenure, term_of(id), std::move(commands)});
+    out.push_back({id, m.addr, m.session, term_of(id), std::move(commands)});
   }
   kills_.clear();
   return out;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -126,10 +126,10 @@
   // The machines of a list in the order in which they should be asked to take work: those with
   // services first, then the fullest, so that others run empty and can be given away.
   std::vector<std::string> fullest_first(std::vector<std::string> machines) const;
-  // Tasks to kill by /commands: (machine address, tenure, term, orders).
+  // Tasks to kill by /commands: (machine address, session, term, orders).
   struct Kill {
     std::string machine, addr;
-    std::uint64_t tenure, term;
+    std::uint64_t session, term;
     std::vector<Command> commands;
   };
   std::vector<Kill> take_kills();
@@ -176,8 +176,8 @@
     bool leaving = false;
     Ms shed_until = 0, drain_until = 0;
     bool spare = false;  // takes work only when no other machine can, so that it runs empty
-    bool gone = false;   // its lease is over; a new tenure must appear
-    std::uint64_t tenure = 0, tick = 0;
+    bool gone = false;   // its lease is over; a new session must appear
+    std::uint64_t session = 0, sequence = 0;
     Ms last_answer = 0;  // the last 200 anyone could have given
     Ms last_report = 0;
     Ms idle_since = 0;
--- a/src/core/reports.cc
+++ b/src/core/reports.cc
@@ -57,7 +57,7 @@
   Machine& m = *it->second;
   const Answer stale{Verdict::stale, term_of(r.machine), {}};
   if (is_outdated(m, r)) return stale;
-  if (m.reported && r.tenure > m.tenure) begin_session(m, now);
+  if (m.reported && r.session > m.session) begin_session(m, now);
   // Invariant 5: no 200 any more until its lease is surely over (see `tick`).
   if (has_inbound_loss(m) && !m.gone) return stale;
   take_machine_state(m, r, now);
@@ -82,10 +82,10 @@
   // A worker that has seen a higher term has another owner: our view is behind.
   if (r.term > term_of(m.id)) return true;
   if (!m.reported) return false;
-  // Late and repeated messages: only the newest (tenure, tick) counts.
-  if (std::pair(r.tenure, r.tick) <= std::pair(m.tenure, m.tick)) return true;
-  // After its lease ended by our clock, a machine must show a new tenure.
-  return m.gone && r.tenure == m.tenure;
+  // Late and repeated messages: only the newest (session, sequence) counts.
+  if (std::pair(r.session, r.sequence) <= std::pair(m.session, m.sequence)) return true;
+  // After its lease ended by our clock, a machine must show a new session.
+  return m.gone && r.session == m.session;
 }
 
 // The worker has killed all that it had.
@@ -101,8 +101,8 @@
 void Part::take_machine_state(Machine& m, const Report& r, Ms now) {
   m.reported = true;
   m.gone = false;
-  m.tenure = r.tenure;
-  m.tick = r.tick;
+  m.session = r.session;
+  m.sequence = r.sequence;
   m.last_report = now;
   m.addr = r.addr;
   m.zone = r.zone;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -62,7 +62,7 @@
 struct Report {
   std::string machine, addr, type, zone;
   bool spot = false;
-  std::uint64_t tenure = 0, tick = 0, term = 0;
+  std::uint64_t session = 0, sequence = 0, term = 0;
   std::optional<double> notice_s;
   std::vector<TaskReport> tasks;
 };
--- a/tests/concurrent_faults_test.cc
+++ b/tests/concurrent_faults_test.cc
@@ -508,7 +508,7 @@
        },
        [](World& w) {
          EXPECT_GT(w.copies(), 200u);
-         EXPECT_GE(w.tenure_of(machine(0)), 2u);
+         EXPECT_GE(w.session_of(machine(0)), 2u);
        }},
       {"HandedOverAndBackThenAllEndAndOneReturns", 50,
        [](World& w, Load& load) {
@@ -624,7 +624,7 @@
            for (int i = 0; i < 4; ++i) w.deafen(machine(i), false);
          });
        },
-       [](World& w) { EXPECT_GE(w.tenure_of(machine(0)), 2u); }},
+       [](World& w) { EXPECT_GE(w.session_of(machine(0)), 2u); }},
       {"ACommandIsHeldUpAndTheMachineGoesOn", 40,
        [](World& w, Load& load) {
          usual(w, load);
@@ -658,7 +658,7 @@
            for (int i = 0; i < 6; ++i) w.mute(machine(i), false);
          });
        },
-       [](World& w) { EXPECT_GE(w.tenure_of(machine(0)), 2u); }},
+       [](World& w) { EXPECT_GE(w.session_of(machine(0)), 2u); }},
       {"ATeamAtItsLimitChangesLeaderAndSomeMachinesCannotBeAsked", 45,
        [](World& w, Load& load) {
          load.off = {"run-1"};
--- a/tests/part_test.cc
+++ b/tests/part_test.cc
@@ -12,7 +12,7 @@
 
 struct PartTest : testing::Test {
   Part part{0, kTerm, 0, kLimits, {{"red", 4, 12, 0, 0}, {"blue", 4, 12, 0, 0}}};
-  std::uint64_t tick = 0;
+  std::uint64_t sequence = 0;
 
   void SetUp() override { part.set_types({box()}); }
   static MachineType box() {
@@ -33,14 +33,14 @@
     return s;
   }
   Report report(const std::string& m, std::vector<TaskReport> tasks = {}, std::uint64_t term = 0,
-                std::uint64_t tenure = 1) {
+                std::uint64_t session = 1) {
     Report r;
     r.machine = m;
     r.addr = "w-" + m;
     r.type = "box";
     r.zone = "a";
-    r.tenure = tenure;
-    r.tick = ++tick;
+    r.session = session;
+    r.sequence = ++sequence;
     r.term = term ? term : part.term_of(m);
     r.tasks = std::move(tasks);
     return r;
@@ -132,11 +132,11 @@
   EXPECT_TRUE(part.place("m-2", 10100).empty());
   EXPECT_EQ(part.tick(10400), std::vector<std::string>{"m-1"});
   EXPECT_EQ(part.place("m-2", 10400).size(), 1u);
-  // A late report of the old tenure is not believed.
+  // A late report of the old session is not believed.
   EXPECT_EQ(part.on_report(report("m-1", {task("run-1", 0, 1)}), 10500).verdict, Verdict::stale);
 }
 
-// Invariant 4: a launch is open until that tenure's next report shows or lacks it.
+// Invariant 4: a launch is open until that session's next report shows or lacks it.
 TEST_F(PartTest, ALaunchThatTheNextReportLacksIsGivenAgain) {
   part.add_machine("m-1", 12, true, 0);
   part.open_job(job("run-1", 1), 11, false, {});
@@ -407,7 +407,7 @@
   // Its last launch is lost: run-1 waits again, and m-2 may have it.
   EXPECT_EQ(part.place("m-2", 9000).size(), 1u);
   EXPECT_EQ(part.tick(t + 10300), std::vector<std::string>{"m-1"});
-  // A new tenure: shunned for a while, then one task.
+  // A new session: shunned for a while, then one task.
   part.open_job(job("run-2", 4), 12, false, {});
   EXPECT_EQ(part.on_report(report("m-1", {}, 0, 2), 14000).verdict, Verdict::ok);
   EXPECT_TRUE(part.place("m-1", 14000).empty());
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -155,7 +155,9 @@
   // Reports that a node has answered with 200.
   std::size_t reports_taken(int node) const;
   // Whether it is up and has a lease, and how often its lease has ended.
-  std::uint64_t tenure_of(const std::string& machine) const { return workers_.at(machine)->tenure; }
+  std::uint64_t session_of(const std::string& machine) const {
+    return workers_.at(machine)->session;
+  }
   // The highest token that it has seen.
   std::uint64_t token_of(const std::string& machine) const { return workers_.at(machine)->epoch; }
   std::size_t held() const { return held_.size(); }  // messages of a cut
@@ -200,7 +202,7 @@
     bool spot = false;
     bool up = false, gone = false, frozen = false, sick = false, stopped = false;
     double rented_at = 0, up_at = 0, taken_at = -1;
-    std::uint64_t tenure = 1, tick = 0, epoch = 0;
+    std::uint64_t session = 1, sequence = 0, epoch = 0;
     std::map<TaskKey, Task> tasks;
     std::set<std::string> images;
     int node = 0;
@@ -229,7 +231,7 @@
   void when_awake(std::size_t i, std::function<void()> f);
   void tick_workers();
   void send_report(Worker& w);
-  void take_answer(Worker& w, Ms sent, std::uint64_t tenure, const HttpReply& r, int node);
+  void take_answer(Worker& w, Ms sent, std::uint64_t session, const HttpReply& r, int node);
   void obey(Worker& w, const std::string& body);
   void raise_token(Worker& w, std::uint64_t token);
   void hold_command(Worker& w, const HttpRequest& r);
--- a/tests/standin/world_workers.cc
+++ b/tests/standin/world_workers.cc
@@ -98,7 +98,7 @@
   for (auto& [key, t] : w.tasks)
     if (on_machine(t)) checker_.task_off(w.id, key.first, key.second);
   w.tasks.clear();
-  ++w.tenure;
+  ++w.session;
   w.lease_from = now_;
   w.changed = true;
 }
@@ -188,7 +188,7 @@
 }
 
 std::string World::report_body(Worker& w) {
-  ++w.tick;
+  ++w.sequence;
   std::string tasks;
   for (const auto& [key, t] : w.tasks) {
     tasks += (tasks.empty() ? "" : ",") +
@@ -201,7 +201,7 @@
   return "{\"host\":\"" + w.id + "\",\"endpoint\":\"" + w.addr +
          "\",\"hull\":\"box\",\"berth\":\"" + w.zone +
          "\",\"driftwood\":" + (w.spot ? "true" : "false") +
-         ",\"tenure\":" + std::to_string(w.tenure) + ",\"tick\":" + std::to_string(w.tick) +
+         ",\"tenure\":" + std::to_string(w.session) + ",\"tick\":" + std::to_string(w.sequence) +
          ",\"epoch\":" + std::to_string(w.epoch) + ",\"warning_s\":" + notice + ",\"shards\":[" +
          tasks + "]}";
 }
@@ -212,7 +212,7 @@
   w.last_sent = now_;
   const double jitter = 0.75 + 0.5 * static_cast<double>(random_() % 1000) / 1000.0;
   w.next_report = now_ + static_cast<Ms>(o_.report_s * 1000 * jitter);
-  const std::uint64_t tenure = w.tenure, flight = ++w.flight;
+  const std::uint64_t session = w.session, flight = ++w.flight;
   const int node = w.node;
   const Ms sent = now_;
   const std::string id = w.id;
@@ -225,15 +225,15 @@
              [](HttpReply) {});
       });
   call(w.addr, {"n" + std::to_string(node), "POST", "/v1/report", body, 4000},
-       [this, id, sent, tenure, node, flight](HttpReply r) {
+       [this, id, sent, session, node, flight](HttpReply r) {
          Worker& worker = *workers_.at(id);
          if (worker.gone || worker.stopped || worker.flight != flight) return;
          worker.in_flight = false;
-         take_answer(worker, sent, tenure, r, node);
+         take_answer(worker, sent, session, r, node);
        });
 }
 
-void World::take_answer(Worker& w, Ms sent, std::uint64_t tenure, const HttpReply& r, int node) {
+void World::take_answer(Worker& w, Ms sent, std::uint64_t session, const HttpReply& r, int node) {
   if (w.frozen) return;
   if (r.status == 421 && r.body.find("upstream") != std::string::npos) {
     Document d;
@@ -252,7 +252,7 @@
   }
   Document d;
   d.Parse(r.body.c_str());
-  if (tenure != w.tenure || d["epoch"].GetUint64() < w.epoch) return;
+  if (session != w.session || d["epoch"].GetUint64() < w.epoch) return;
   w.lease_from = sent;
   raise_token(w, d["epoch"].GetUint64());
   obey(w, r.body);
@@ -313,7 +313,7 @@
   if (r.path == "/inspect") return done({200, report_body(w)});
   Document d;
   d.Parse(r.body.c_str());
-  if (d["epoch"].GetUint64() < w.epoch || d["tenure"].GetUint64() != w.tenure)
+  if (d["epoch"].GetUint64() < w.epoch || d["tenure"].GetUint64() != w.session)
     return done({409, report_body(w)});
   raise_token(w, d["epoch"].GetUint64());
   obey(w, r.body);
