Tests: a record that lands late names no version that is over; children end with their test

Need: without the comparison of the cluster version in the commit of a controller's record no test failed. A starting controller's record is now on its way while the cluster goes on by two steps without it.

--- a/tests/processes/child_process.cc
+++ b/tests/processes/child_process.cc
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -14,6 +15,7 @@
   arguments.push_back(nullptr);
   pid_ = fork();
   if (pid_ != 0) return;
+  prctl(PR_SET_PDEATHSIG, SIGKILL);  // it ends with the test, however that ends
   const int output = open(output_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   dup2(output, STDOUT_FILENO);
   dup2(output, STDERR_FILENO);
--- a/tests/processes/rolling_upgrade_processes_test.cc
+++ b/tests/processes/rolling_upgrade_processes_test.cc
@@ -138,6 +138,7 @@
     restart(node);
     EXPECT_TRUE(cluster_.run_until(kReadyPatienceS, [&] { return has_record(node); }));
     if (pick(2) == 0) disturb();
+    EXPECT_EQ(cluster_.command(newer_, {"status"}), 0) << cluster_.last_output();
   }
 
   take_step({"advance", "--reason", "write compact"}, 2);
--- a/tests/upgrade/rolling_upgrade_test.cc
+++ b/tests/upgrade/rolling_upgrade_test.cc
@@ -115,6 +115,24 @@
   expect_rules_kept(w);
 }
 
+// Its record is on its way, naming version 1, while the cluster goes on by two steps without it.
+TEST_P(RollingUpgrade, ALateRecordNamesNoVersionThatIsOver) {
+  UpgradeWorld w(options());
+  submit_arrays(w, 5, 50);
+  w.at(10, [&] { w.crash(1, 12); });
+  w.at(22, [&] { w.late_writes({1, 2.2, 2.4}); });  // those of the others too, for a moment
+  w.at(22.3, [&] { w.late_writes({}); });
+  w.ask(22.5, 0, Action::advance, {"n1"});
+  w.ask(23.2, 0, Action::advance, {"n1"});
+  w.run_until(23.6);
+  EXPECT_EQ(w.cluster_version(), 3u) << w.told().back().body;
+  EXPECT_EQ(w.acting(1), 0u) << "its record has not landed yet";
+  w.run_until(110);
+  EXPECT_EQ(w.acting(1), 3u);
+  expect_arrays_ended(w, 5, 50);
+  expect_rules_kept(w);
+}
+
 // It stands still for longer than its lease, the cluster goes on without it by two steps, and then
 // it wakes up with what it was about to write.
 TEST_P(RollingUpgrade, AFrozenControllerWritesNothingUnderAVersionThatIsOver) {
