Conversion: no look at all jobs in every tick where nothing is left to convert

Cause: with cluster versions enabled and nothing to convert, each partition's owner passed over all its jobs twenty times a second. Change: after a look that found nothing it pauses for a second.

--- a/src/actors/owner.h
+++ b/src/actors/owner.h
@@ -102,6 +102,7 @@
     Reply take_deferred(const std::string& machine);
     std::map<std::string, JobPersistence> persistence;
     std::vector<std::string> unused_keys;  // to be deleted, see `sweep`
+    Ms look_for_conversion_at = 0;         // nothing was left to convert when last looked for
   };
   struct PeerNews {
     Ms at = 0;
--- a/src/actors/owner_persistence.cc
+++ b/src/actors/owner_persistence.cc
@@ -196,7 +196,7 @@
 void Owner::convert_progress(int part, Owned& o) {
   const auto policy = state_store_.progress_policy();
   if (!state_store_.acting_version().enabled() || !policy.convert_to) return;
-  if (!conversion_pace_.allows(rt_.now())) return;
+  if (rt_.now() < o.look_for_conversion_at || !conversion_pace_.allows(rt_.now())) return;
   for (const auto& [id, f] : o.persistence) {
     if (f.in_flight || !o.core->has_job(id) || o.core->held(id) || o.core->complete(id) ||
         upgrade::values_to_convert(f.progress, *policy.convert_to) == 0)
@@ -208,6 +208,8 @@
     conversion_pace_.take(batch.writes.size() + batch.deletes.size());
     return commit_progress(part, o, id, nonce, std::move(batch), true);
   }
+  // Guard: a look at all jobs in every tick would cost more than the conversion itself.
+  o.look_for_conversion_at = rt_.now() + k::kConversionLookMs;
 }
 
 // Each value is guarded by its own revision, so a late copy of an earlier batch cannot undo a later
--- a/src/constants.h
+++ b/src/constants.h
@@ -107,12 +107,13 @@
                                              // minutes of a busy day, an owner is behind by seconds
 
 // --- upgrades -----------------------------------------------------------------------------
-constexpr Ms kVersionRetryMs = 50;       // ms; a change of version is learnt from one answer
+constexpr Ms kVersionRetryMs = 50;  // ms; a change of version is learnt from one answer
 constexpr int kStepTries = 2;  // of a step; its operator hears within two state service timeouts
-constexpr Ms kAutomaticEveryMs = 10000;  // ms; pace of automatic steps, so that each is settled
-constexpr std::size_t kHistoryKept = 200;         // steps asked for; older ones are deleted
+constexpr Ms kAutomaticEveryMs = 10000;    // ms; pace of automatic steps, so that each is settled
+constexpr std::size_t kHistoryKept = 200;  // steps asked for; older ones are deleted
 constexpr std::size_t kHistoryRecordBytes = 900;  // bytes; below the smallest limit of a value
 constexpr Ms kConversionRateMs = 10000;  // ms; over which the rate of the conversion is averaged
+constexpr Ms kConversionLookMs = 1000;   // ms; pause after a look that found nothing to convert
 constexpr double kConversionBurst = 1;   // s; of its share of the changes, saved up at most
 constexpr Ms kUpgradeCallMs = 6000;      // ms; a step is three tries of 1.5 s, and a pause
 constexpr Ms kUpgradeResolveMs = 10000;  // ms; the command line looks so long for an outcome
