--- a/src/upgrade/progress_plan.cc
+++ b/src/upgrade/progress_plan.cc
@@ -92,17 +92,13 @@
   ProgressBatch batch;
   if (values_to_convert(job.stored, to) == 0) return batch;
   std::set<std::string> kept;
-  bool all_written = true;
   for (ProgressValue& value : all_values(job, to, nonce)) {
     kept.insert(value.key);
     if (is_stored_as(job.stored, value)) continue;
-    if (batch.writes.size() < most)
-      batch.writes.push_back(std::move(value));
-    else
-      all_written = false;
+    if (batch.writes.size() < most) batch.writes.push_back(std::move(value));
   }
-  // What goes is in other values by then, or with the same commit.
-  if (!all_written) return batch;
+  // What goes is in other values by then, or with the same commit: there is room for it only once
+  // all values are written.
   for (const auto& [key, stored] : job.stored) {
     if (batch.writes.size() + batch.deletes.size() == most) break;
     if (!stored.unreadable && stored.form != to && !kept.count(key)) batch.deletes.push_back(key);
