--- a/src/cli/http_call.cc
+++ b/src/cli/http_call.cc
@@ -20,6 +20,7 @@
     event_base_loopbreak(base.get());
   });
   event_base_dispatch(base.get());
+  event_base_loop(base.get(), EVLOOP_NONBLOCK);  // what the client has left for later
   return reply;
 }
 
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -50,12 +50,34 @@
   bool once;
 };
 
+namespace {
+
+// Guard: where it could not connect or timed out, libevent does not free a connection "on
+// completion"; each such request left its connection behind for ever.
+void free_connection_soon(event_base* base, evhttp_connection* connection) {
+  const timeval now{};
+  event_base_once(
+      base, -1, EV_TIMEOUT,
+      [](evutil_socket_t, short, void* arg) {
+        evhttp_connection_free(static_cast<evhttp_connection*>(arg));
+      },
+      connection, &now);
+}
+
+}  // namespace
+
+// What is open ends without an answer, and nobody is told.
 HttpClient::~HttpClient() {
   for (auto* c : idle_) evhttp_connection_free(c);
+  for (Call* call : open_) {
+    evhttp_connection_free(call->conn);
+    delete call;
+  }
 }
 
 void HttpClient::on_done(evhttp_request* req, void* arg) {
   std::unique_ptr<Call> call(static_cast<Call*>(arg));
+  call->client->open_.erase(call.get());
   HttpReply reply;
   if (req && evhttp_request_get_response_code(req) != 0) {
     reply.status = evhttp_request_get_response_code(req);
@@ -65,7 +87,7 @@
     else
       call->client->idle_.push_back(call->conn);
   } else {
-    evhttp_connection_free_on_completion(call->conn);
+    free_connection_soon(call->client->base_, call->conn);
   }
   call->done(std::move(reply));
 }
@@ -82,6 +104,7 @@
   const timeval tv = to_timeval(r.timeout);
   evhttp_connection_set_timeout_tv(conn, &tv);
   auto* call = new Call{this, conn, std::move(done), r.once};  // freed by on_done
+  open_.insert(call);
   evhttp_request* req = evhttp_request_new(&HttpClient::on_done, call);
   evkeyvalq* headers = evhttp_request_get_output_headers(req);
   evhttp_add_header(headers, "Host", (addr_.host + ":" + std::to_string(addr_.port)).c_str());
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,7 @@
   event_base* base_;
   Address addr_;
   std::vector<evhttp_connection*> idle_;
+  std::set<Call*> open_;  // requests without an answer yet
 };
 
 timeval to_timeval(Ms ms);
--- a/tests/processes/process_cluster.cc
+++ b/tests/processes/process_cluster.cc
@@ -58,6 +58,7 @@
   state_.reset();
   cloud_.reset();
   clients_.clear();
+  event_base_loop(base_.get(), EVLOOP_NONBLOCK);  // what they have left for later
 }
 
 StandInServer::Handler ProcessCluster::stand_in(const std::string& name) {
--- a/tests/processes/stand_in_servers.h
+++ b/tests/processes/stand_in_servers.h
@@ -35,7 +35,7 @@
   std::string address_;
 };
 
-// A port of loopback that was free a moment ago.
+// A port of loopback that was free a moment ago, another one each time.
 int free_port();
 
 }  // namespace eiderreel::standin
