--- a/review/standin/cluster.h
+++ b/review/standin/cluster.h
@@ -32,7 +32,13 @@
 
   Cluster(World& world, Settings settings, std::vector<MachineType> types)
       : world(world), settings(std::move(settings)), state(world, this->settings.state),
-        cloud(world, types, this->settings.zones, this->settings.list_lag_s) {
+        cloud(world, types, this->settings.zones, this->settings.list_lag_s,
+              [this](const std::string& host, const MachineType& type, const std::string& zone,
+                     bool spot) {
+                this->world.record("machine " + host + " is up (" + type.name + (spot ? ", spot)" : ")"));
+                workers.push_back(std::make_unique<Worker>(this->world, context, host, type, zone, spot));
+                return workers.back().get();
+              }) {
     const char* folder = std::getenv("REVIEW_TMP");
     const char* run = std::getenv("REVIEW_RUN");
     if (!folder || !run) std::exit(2);
@@ -130,17 +136,18 @@
     context.watcher.answered = [&](Worker& worker, int status, std::size_t) {
       if (status == 200) served.insert(worker.host);
     };
-    std::set<std::size_t> ready;
-    world.every(0.3, [&, end] {
+    const auto ready = std::make_shared<std::set<std::size_t>>();
+    const auto waiting = std::make_shared<bool>(true);
+    world.every(0.3, [=, this] {
       for (std::size_t i = 0; i < kNodes; ++i)
-        call(world, context.node_ports[i], "GET", "/ready", "", 1, [&ready, i, this, end](Answer answer) {
-          if (answer.status == 200 && world.now() < end) ready.insert(i);
+        call(world, context.node_ports[i], "GET", "/ready", "", 1, [ready, i](const Answer& answer) {
+          if (answer.status == 200) ready->insert(i);
         });
-      return ready.size() < kNodes && world.now() < end - 2;
+      return *waiting;
     });
     const bool all = world.run_until(
-        end, [&] { return ready.size() == kNodes && served.size() == workers.size(); });
-    world.run_for(1.2);  // answers that are on their way
+        end, [&] { return ready->size() == kNodes && served.size() == workers.size(); });
+    *waiting = false;
     context.watcher.answered = [](Worker&, int, std::size_t) {};
     world.record(all ? "all controllers are ready, all machines are served"
                      : "the cluster did not become ready");
--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -310,25 +310,37 @@
   bool in_flight_ = false, cut_ = false, gone_ = false;
 };
 
-/// The cloud: rents nothing more ("no capacity"), lists and takes back what is there.
+/// The cloud: lists machines, rents as many as are left of each type, takes machines back.
 class Cloud {
  public:
-  Cloud(World& world, std::vector<MachineType> types, std::vector<std::string> zones, double lag_s)
+  using Rent = std::function<Worker*(const std::string& host, const MachineType& type,
+                                     const std::string& zone, bool spot)>;
+  Cloud(World& world, std::vector<MachineType> types, std::vector<std::string> zones, double lag_s,
+        Rent rent)
       : world_(world), types_(std::move(types)), zones_(std::move(zones)), lag_s_(lag_s),
+        rent_(std::move(rent)),
         server_(world, [this](const Request& request, ResponderPtr reply) { serve(request, reply); }) {}
   std::string address() const { return server_.address(); }
-  void add(Worker* worker) { machines_[worker->host] = {worker, -100, -1}; }
+  void add(Worker* worker) {
+    machines_[worker->host] = {worker, worker->type, worker->zone, worker->spot, -100, -1};
+  }
+  /// How many further machines the cloud gives, of any type and zone.
+  int left = 0;
+  int asked = 0;  // requests for machines so far
 
  private:
   struct Entry {
-    Worker* worker;
+    Worker* worker;  // null while it boots
+    MachineType type;
+    std::string zone;
+    bool spot;
     double rented, gone;
   };
   void serve(const Request& request, const ResponderPtr& reply) {
     if (request.path == "/catalog") return reply->send(200, catalog());
     if (request.path == "/machines" && request.method == "GET") return list(request, reply);
     if (request.path == "/machines/return") return take_back(request, reply);
-    if (request.path == "/machines") return reply->send(503, "{\"error\":\"no capacity\"}");
+    if (request.path == "/machines") return rent(request, reply);
     reply->send(404, "{}");
   }
   std::string catalog() const {
@@ -347,21 +359,52 @@
   }
   void list(const Request& request, const ResponderPtr& reply) {
     const auto since = request.query.find("since");
+    const double now = world_.now();
     std::string rows;
     for (const auto& [name, entry] : machines_) {
       if (since != request.query.end() && name <= since->second) continue;
+      if (entry.gone >= 0 && now - entry.gone > lag_s_) continue;
+      if (now - entry.rented < lag_s_) continue;
       // A machine that stopped by itself stays listed as running for about 30 s.
-      if (entry.gone >= 0 && world_.now() - entry.gone > lag_s_) continue;
-      const bool failed = entry.worker->gone() && world_.now() - entry.worker->died_at() > 30;
+      const char* phase = "running";
+      if (!entry.worker) phase = "starting";
+      else if (entry.worker->gone() && now - entry.worker->died_at() > 30) phase = "failed";
       rows += (rows.empty() ? "" : ",") +
               format("{\"name_id\":\"%s\",\"endpoint\":\"%s\",\"hull\":\"%s\",\"berth\":\"%s\","
                      "\"driftwood\":%s,\"phase\":\"%s\",\"held_s\":%.1f}",
-                     name.c_str(), entry.worker->address().c_str(), entry.worker->type.name.c_str(),
-                     entry.worker->zone.c_str(), entry.worker->spot ? "true" : "false", failed ? "failed" : "running",
-                     world_.now() - entry.rented);
+                     name.c_str(), entry.worker ? entry.worker->address().c_str() : "127.0.0.1:1",
+                     entry.type.name.c_str(), entry.zone.c_str(), entry.spot ? "true" : "false",
+                     phase, now - entry.rented);
     }
     reply->send(200, "{\"hosts\":[" + rows + "],\"more\":false}");
   }
+  void rent(const Request& request, const ResponderPtr& reply) {
+    Json body;
+    body.Parse(request.body.c_str());
+    const std::string charter = body["charter"].GetString();
+    world_.record("POST /machines " + request.body);
+    ++asked;
+    if (const auto known = charters_.find(charter); known != charters_.end())
+      return reply->send(200, known->second);
+    const auto type = std::find_if(types_.begin(), types_.end(), [&](const MachineType& candidate) {
+      return candidate.name == body["hull"].GetString();
+    });
+    const int count = std::min(left, body["how_many"].GetInt());
+    if (type == types_.end() || count <= 0) return reply->send(503, "{\"error\":\"no capacity\"}");
+    left -= count;
+    std::string hosts;
+    for (int i = 0; i < count; ++i) {
+      const std::string host = format("m-%06d", ++last_rented_);
+      hosts += (hosts.empty() ? "\"" : ",\"") + host + "\"";
+      machines_[host] = {nullptr, *type, body["berth"].GetString(), body["driftwood"].GetBool(),
+                         world_.now(), -1};
+      world_.after(type->ready_s * world_.uniform(0.6, 1.5), [this, host] {
+        Entry& entry = machines_[host];
+        if (entry.gone < 0) entry.worker = rent_(host, entry.type, entry.zone, entry.spot);
+      });
+    }
+    reply->send(200, charters_[charter] = "{\"hosts\":[" + hosts + "]}");
+  }
   void take_back(const Request& request, const ResponderPtr& reply) {
     Json body;
     body.Parse(request.body.c_str());
@@ -370,7 +413,7 @@
       if (found == machines_.end() || found->second.gone >= 0) continue;
       world_.record("the cloud takes back " + found->first);
       found->second.gone = world_.now();
-      found->second.worker->die();
+      if (found->second.worker && !found->second.worker->gone()) found->second.worker->die();
     }
     reply->send(200, "{}");
   }
@@ -379,7 +422,10 @@
   std::vector<MachineType> types_;
   std::vector<std::string> zones_;
   double lag_s_;
+  Rent rent_;
   std::map<std::string, Entry> machines_;
+  std::map<std::string, std::string> charters_;
+  int last_rented_ = 1000;
   Server server_;
 };
 
