Review: a script that is ended leaves no process behind

A script that got a signal left its program and the three controllers running for up to two minutes: 5 processes after TERM and after KILL. The program now ends with the script, and by itself after 119 s.

--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -11,6 +11,8 @@
 #include <rapidjson/document.h>
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
+#include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
@@ -59,6 +61,9 @@
   explicit World(const char* record_file)
       : base(event_base_new()), record_(std::fopen(record_file, "w")), started_(steady()) {
     if (!record_) std::exit(2);
+    prctl(PR_SET_PDEATHSIG, SIGKILL);  // this program ends with the script that started it
+    if (getppid() == 1) std::exit(2);
+    alarm(119);
     random.seed(std::random_device{}());
   }
   double now() const { return steady() - started_; }
