--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,9 +3,9 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for case in review/[456]/case.cc; do
-  [ -f "$case" ] || continue
-  number=$(basename "$(dirname "$case")")
-  g++ -std=c++20 -O1 -Wall -Wextra -Isrc "$case" -o "target/review-2/case$number" \
+for source in review/[456]/scenario.cc; do
+  [ -f "$source" ] || continue
+  number=$(basename "$(dirname "$source")")
+  g++ -std=c++20 -O1 -Wall -Wextra -Isrc "$source" -o "target/review-2/case$number" \
     target/libeiderreel_lib.a -levent
 done
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -518,6 +518,7 @@
 
 struct Node {
   std::string name, area, api, mesh, config;
+  std::string program;  // another build than that of the deploy file, if not empty
   pid_t pid = 0;
   std::unique_ptr<Server> state;  // each controller has its own address of the state service
   std::unique_ptr<eiderreel::net::HttpClient> users;
@@ -603,6 +604,7 @@
           open((directory + "/" + node.name + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(log, 1);
       dup2(log, 2);
+      if (!node.program.empty()) command.front() = node.program;
       std::vector<char*> words;
       for (auto& word : command) words.push_back(word.data());
       words.push_back(node.config.data());
@@ -658,6 +660,17 @@
     }
   }
   int memory_kills = 0;
+  static constexpr std::size_t kMaxLine = 65536;
+  int long_lines = 0;              // responses to workers with a line over 64 KiB
+  std::size_t longest_report = 0;  // bytes
+  static std::size_t longest_line(const std::string& text) {
+    std::size_t longest = 0, begin = 0;
+    for (std::size_t end = 0; end != std::string::npos; begin = end + 1) {
+      end = text.find('\n', begin);
+      longest = std::max(longest, (end == std::string::npos ? text.size() : end) - begin);
+    }
+    return longest;
+  }
   std::size_t rss_kb(const Node& node) const {
     std::ifstream file("/proc/" + std::to_string(node.pid) + "/status");
     for (std::string line; std::getline(file, line);)
@@ -1020,8 +1033,10 @@
     const std::uint64_t tenure = w.tenure;
     const Ms sent = now();
     const int node = w.node;
+    const std::string body = report(w);
+    longest_report = std::max(longest_report, body.size());
     w.clients[static_cast<std::size_t>(node)]->send(
-        {nodes[static_cast<std::size_t>(node)].api, "POST", "/v1/report", report(w), 4000},
+        {nodes[static_cast<std::size_t>(node)].api, "POST", "/v1/report", body, 4000},
         [this, &w, number, tenure, sent, node](HttpReply r) {
           if (w.gone || number != w.report_number) return;
           w.in_flight = false;
@@ -1029,6 +1044,16 @@
             w.next_report = sent + 5000;
             return;
           }
+          if (longest_line(r.body) > kMaxLine) {
+            // The worker reads lines of 64 KiB at most: this is no response for it.
+            ++long_lines;
+            say("%s: %s answers with a line of %zu bytes, over 64 KiB", w.id.c_str(),
+                nodes[static_cast<std::size_t>(node)].name.c_str(), longest_line(r.body));
+            w.node = (node + 1) % static_cast<int>(nodes.size());
+            w.next_report = now() + 1000;
+            w.change = false;
+            return;
+          }
           on_answer(w, r, tenure, sent, node);
         });
   }
